--- /dev/null
+++ b/brooklb.go
@@ -0,0 +1,62 @@
+// Package brooklb is a cluster scheduler. A program that embeds it gives it a
+// Config and calls Run; the daemon in cmd/brooklb does no more than that.
+package brooklb
+
+import (
+	"context"
+	"log/slog"
+	"runtime"
+	"runtime/debug"
+
+	"brooklb/internal/httpx"
+	"brooklb/internal/node"
+	"brooklb/internal/settings"
+)
+
+// Config says what a controller needs to know.
+type Config struct {
+	// SettingsFile is the platform's TOML file.
+	SettingsFile string
+	// Log receives the log; nil means the default logger.
+	Log *slog.Logger
+}
+
+// Service is one controller.
+type Service struct {
+	set *settings.Settings
+	log *slog.Logger
+}
+
+// New reads and checks the settings. Nothing is started yet.
+func New(c Config) (*Service, error) {
+	set, err := settings.Load(c.SettingsFile)
+	if err != nil {
+		return nil, err
+	}
+	if c.Log == nil {
+		c.Log = slog.Default()
+	}
+	return &Service{set: set, log: c.Log.With("node", set.Label)}, nil
+}
+
+// Run serves until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	// The machines are a fraction of a core: a second processor would only add
+	// switching, and the collector must respect the memory limit.
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(s.set.Facts.Limits.MemMB * 0.6 * (1 << 20)))
+	lim := s.set.Facts.Limits
+	// A quarter of the sockets is kept for our own calls.
+	loop := httpx.NewLoop(s.set.Bind, s.set.ClusterListen, lim.Sockets*3/4, hash(s.set.Label), s.log)
+	n := node.New(loop, s.set)
+	s.log.Info("starting", "listen", s.set.Bind)
+	return loop.Run(ctx, n, n.Start)
+}
+
+func hash(s string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := 0; i < len(s); i++ {
+		h = (h ^ uint64(s[i])) * 1099511628211
+	}
+	return h
+}
--- /dev/null
+++ b/cmd/brooklb/main.go
@@ -0,0 +1,78 @@
+// Command brooklb is the controller daemon.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+
+	"brooklb"
+
+	"github.com/spf13/cobra"
+)
+
+// version is the product's version.
+const version = "0.1.0"
+
+// usageError marks errors of the command line; they end with status 2.
+type usageError struct{ error }
+
+func main() {
+	if err := root().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "brooklb:", err)
+		var u usageError
+		if errors.As(err, &u) {
+			os.Exit(2)
+		}
+		os.Exit(1)
+	}
+}
+
+func level() slog.Level {
+	switch os.Getenv("LOG_LEVEL") {
+	case "debug":
+		return slog.LevelDebug
+	case "error":
+		return slog.LevelError
+	default:
+		return slog.LevelInfo
+	}
+}
+
+func root() *cobra.Command {
+	var config string
+	var check bool
+	c := &cobra.Command{
+		Use:           "brooklb",
+		Short:         "a cluster scheduler: three controllers of one program, no disk",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args: func(_ *cobra.Command, args []string) error {
+			if len(args) > 0 {
+				return usageError{fmt.Errorf("unknown command or argument %q", args[0])}
+			}
+			return nil
+		},
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if config == "" {
+				return usageError{errors.New("--config FILE is missing")}
+			}
+			log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level()}))
+			s, err := brooklb.New(brooklb.Config{SettingsFile: config, Log: log})
+			if err != nil || check {
+				if err == nil {
+					fmt.Println("settings are good")
+				}
+				return err
+			}
+			return s.Run(context.Background())
+		},
+	}
+	c.Flags().StringVar(&config, "config", "", "the platform's settings file (TOML)")
+	c.Flags().BoolVar(&check, "check", false, "check the settings and end")
+	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+	c.AddCommand(&cobra.Command{Use: "version", Short: "print the version", Run: func(*cobra.Command, []string) { fmt.Println("brooklb", version) }})
+	return c
+}
--- /dev/null
+++ b/internal/admission/admission.go
@@ -0,0 +1,329 @@
+// Package admission serves users on every node: it accepts, shows and cancels
+// jobs. It tells only what is durable, and refuses at once what it can't tell.
+package admission
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"brooklb/internal/actor"
+	"brooklb/internal/fleet"
+	"brooklb/internal/httpx"
+	"brooklb/internal/ledger"
+	"brooklb/internal/model"
+	"brooklb/internal/settings"
+	"brooklb/internal/statestore"
+	"brooklb/internal/wire"
+)
+
+// Actor serves users.
+type Actor struct {
+	env   actor.Env
+	store *statestore.Store
+	teams map[string]settings.Team
+	types []model.MachineType
+	zones map[string]bool
+	// Live gives the leader's own counts of a job, where this node leads.
+	Live func(id string) (done, running int, why string, ok bool)
+	// Healthy tells whether the node can take requests.
+	Healthy func() bool
+}
+
+// New makes the actor.
+func New(env actor.Env, store *statestore.Store, teams []settings.Team, zones []string) *Actor {
+	a := &Actor{env: env, store: store, teams: map[string]settings.Team{}, zones: map[string]bool{}}
+	for _, t := range teams {
+		a.teams[t.Name] = t
+	}
+	for _, z := range zones {
+		a.zones[z] = true
+	}
+	store.Subscribe(func(key string, it *statestore.Item) {
+		if key == fleet.TypesKey && it != nil {
+			ts, err := fleet.DecodeTypes(it.Value)
+			if err != nil {
+				env.Log().Error("machine types can't be read", "key", key, "err", err)
+				return
+			}
+			a.types = ts
+		}
+	})
+	return a
+}
+
+func refuse(status, after int, why string) httpx.Response {
+	return httpx.Response{Status: status, RetryAfter: after, Body: wire.Error(why)}
+}
+
+var unavailable = refuse(http.StatusServiceUnavailable, 1, "the state service can't be asked, come back")
+
+// Serve answers a user's request; it returns false for paths of others.
+func (a *Actor) Serve(r *httpx.Request, reply func(httpx.Response)) bool {
+	switch {
+	case r.Path == wire.PathHealth:
+		if r.Method != "GET" {
+			reply(refuse(405, 0, "GET only"))
+		} else if a.Healthy() {
+			reply(httpx.Response{Status: 200, Body: []byte(`{}`)})
+		} else {
+			reply(refuse(503, 1, "not ready"))
+		}
+	case r.Path == wire.PathJobs:
+		if r.Method != "POST" {
+			reply(refuse(405, 0, "POST only"))
+			return true
+		}
+		a.submit(r.Body, reply)
+	case strings.HasPrefix(r.Path, wire.PathJobs+"/"):
+		rest := r.Path[len(wire.PathJobs)+1:]
+		id, verb, _ := strings.Cut(rest, "/")
+		switch {
+		case verb == "" && !strings.Contains(rest, "/"):
+			if r.Method != "GET" {
+				reply(refuse(405, 0, "GET only"))
+			} else if !wire.ValidJobID(id) {
+				reply(refuse(404, 0, "no such job"))
+			} else {
+				a.poll(id, reply)
+			}
+		case verb == wire.PathWithdraw:
+			if r.Method != "POST" {
+				reply(refuse(405, 0, "POST only"))
+			} else if !wire.ValidJobID(id) {
+				reply(refuse(404, 0, "no such job"))
+			} else {
+				a.cancel(id, 4, reply)
+			}
+		default:
+			reply(refuse(404, 0, "no such path"))
+		}
+	default:
+		return false
+	}
+	return true
+}
+
+// check finds out whether the job can ever run.
+func (a *Actor) check(s *model.Spec) error {
+	team, ok := a.teams[s.Team]
+	if !ok {
+		return fmt.Errorf("unknown team %q", s.Team)
+	}
+	fits := false
+	for i := range a.types {
+		t := &a.types[i]
+		if !s.AllowsType(t.Name) || !s.Need.Fits(t.Cap) {
+			continue
+		}
+		if s.Zone == "" {
+			fits = true
+		}
+		for _, z := range t.Zones {
+			fits = fits || z == s.Zone
+		}
+	}
+	if !fits {
+		return fmt.Errorf("a task fits no allowed machine type")
+	}
+	n := 1.0
+	if s.Kind != model.Array {
+		n = float64(s.Tasks)
+	}
+	t := ledger.Team{Team: team}
+	if !t.Within(s.Need.Times(n)) {
+		return fmt.Errorf("the job needs more than the limit of team %q", s.Team)
+	}
+	if s.OneZone && s.Spread && s.Tasks > 1 && s.Kind != model.Array {
+		return fmt.Errorf("the tasks can't be both in one zone and apart")
+	}
+	return nil
+}
+
+func (a *Actor) submit(body []byte, reply func(httpx.Response)) {
+	s, err := wire.DecodeJob(body)
+	if err != nil {
+		reply(refuse(400, 0, err.Error()))
+		return
+	}
+	if !a.store.Synced() {
+		reply(unavailable)
+		return
+	}
+	key := ledger.JobKey(s.ID)
+	if _, ok := a.store.Peek(key); ok {
+		a.poll(s.ID, reply)
+		return
+	}
+	if len(a.types) == 0 {
+		reply(refuse(503, 1, "the machine types aren't known yet"))
+		return
+	}
+	if err := a.check(s); err != nil {
+		reply(refuse(422, 0, err.Error()))
+		return
+	}
+	nonce := fmt.Sprintf("%x", a.env.Rand().Uint64())
+	rec := ledger.NewRecord(s, a.env.Wall().UnixMilli(), nonce)
+	t := wire.Txn{When: []wire.Cond{{Path: key}}, Apply: []wire.Change{{Write: key, Value: rec.Encode()}}}
+	if len(t.Apply[0].Value) > a.store.Config().ValueBytes {
+		reply(refuse(400, 0, "the description is too long"))
+		return
+	}
+	a.create(s, t, nonce, 1, reply)
+}
+
+func (a *Actor) create(s *model.Spec, t wire.Txn, nonce string, tries int, reply func(httpx.Response)) {
+	accepted := func() {
+		a.env.Log().Info("job accepted", "job", s.ID, "class", s.Class, "team", s.Team, "tasks", s.Tasks)
+		reply(httpx.Response{Status: 201, Body: wire.Encode(wire.JobState{Ref: s.ID, Phase: wire.JobPending})})
+	}
+	a.store.Commit(t, false, func(r statestore.Result, _ uint64, _ []string) {
+		switch r {
+		case statestore.OK:
+			accepted()
+		case statestore.Conflict:
+			// There already: by a retry, or by an earlier copy of this write.
+			a.store.Get(t.When[0].Path, func(it *statestore.Item, ok bool) {
+				if !ok || it == nil {
+					reply(unavailable)
+					return
+				}
+				rec, err := ledger.DecodeRecord(s.ID, it.Value)
+				if err == nil && rec.Nonce == nonce && rec.Final == ledger.Open {
+					accepted()
+					return
+				}
+				a.tell(s.ID, it, reply)
+			})
+		case statestore.Maybe:
+			if tries > 0 {
+				a.create(s, t, nonce, tries-1, reply)
+				return
+			}
+			reply(unavailable)
+		default:
+			reply(unavailable)
+		}
+	})
+}
+
+func (a *Actor) poll(id string, reply func(httpx.Response)) {
+	if !a.store.Synced() {
+		reply(unavailable)
+		return
+	}
+	key := ledger.JobKey(id)
+	if it, ok := a.store.Peek(key); ok {
+		if rec, err := ledger.DecodeRecord(id, it.Value); err == nil && rec.Final != ledger.Open {
+			a.tell(id, &it, reply) // an end is final, nothing to ask
+			return
+		}
+	}
+	a.store.Read(key, func(it *statestore.Item, ok bool) {
+		switch {
+		case !ok:
+			reply(unavailable)
+		case it == nil:
+			reply(refuse(404, 0, "no such job"))
+		default:
+			a.tell(id, it, reply)
+		}
+	})
+}
+
+// tell shows a job as its record says.
+func (a *Actor) tell(id string, it *statestore.Item, reply func(httpx.Response)) {
+	rec, err := ledger.DecodeRecord(id, it.Value)
+	if err != nil {
+		a.env.Log().Error("job record can't be read, kept as it is", "key", ledger.JobKey(id), "err", err)
+		reply(refuse(503, 5, "the job's record can't be read"))
+		return
+	}
+	done, running := 0, 0
+	st := wire.JobState{Ref: id, Done: &done, Running: &running, Why: rec.Why}
+	switch rec.Final {
+	case ledger.Done:
+		st.Phase, done = wire.JobDone, rec.Tasks
+	case ledger.Cancelled:
+		st.Phase = wire.JobCancelled
+	default:
+		var ok bool
+		if a.Live != nil {
+			done, running, st.Why, ok = a.Live(id)
+		}
+		if !ok {
+			done, running, st.Why = a.count(id, rec.Tasks)
+		}
+		st.Phase = wire.JobPending
+		if running > 0 {
+			st.Phase = wire.JobRunning
+		}
+	}
+	reply(httpx.Response{Status: 200, Body: wire.Encode(st)})
+}
+
+func (a *Actor) count(id string, tasks int) (done, running int, why string) {
+	for n := 0; n*ledger.ChunkTasks < tasks; n++ {
+		key := ledger.ChunkKey(id, n)
+		if it, ok := a.store.Peek(key); ok {
+			d, r, w, err := ledger.CountChunk(key, it.Value)
+			if err != nil {
+				a.env.Log().Error("chunk can't be read, kept as it is", "key", key, "err", err)
+				continue
+			}
+			done += d
+			running += r
+			if w != "" {
+				why = w
+			}
+		}
+	}
+	return done, running, why
+}
+
+func (a *Actor) cancel(id string, tries int, reply func(httpx.Response)) {
+	if !a.store.Synced() {
+		reply(unavailable)
+		return
+	}
+	key := ledger.JobKey(id)
+	a.store.Read(key, func(it *statestore.Item, ok bool) {
+		if !ok {
+			reply(unavailable)
+			return
+		}
+		if it == nil {
+			reply(refuse(404, 0, "no such job"))
+			return
+		}
+		rec, err := ledger.DecodeRecord(id, it.Value)
+		if err != nil {
+			reply(refuse(503, 5, "the job's record can't be read"))
+			return
+		}
+		if rec.Final != ledger.Open {
+			phase := wire.JobDone
+			if rec.Final == ledger.Cancelled {
+				phase = wire.JobCancelled
+			}
+			reply(httpx.Response{Status: 200, Body: wire.Encode(wire.JobState{Ref: id, Phase: phase})})
+			return
+		}
+		rec.Final, rec.Why = ledger.Cancelled, "cancelled by its user"
+		t := wire.Txn{When: []wire.Cond{{Path: key, Stamp: it.Stamp}}, Apply: []wire.Change{{Write: key, Value: rec.Encode()}}}
+		a.store.Commit(t, false, func(r statestore.Result, _ uint64, _ []string) {
+			switch {
+			case r == statestore.OK:
+				a.env.Log().Info("job cancelled", "job", id)
+				reply(httpx.Response{Status: 200, Body: wire.Encode(wire.JobState{Ref: id, Phase: wire.JobCancelled})})
+			case (r == statestore.Conflict || r == statestore.Maybe) && tries > 0:
+				// Look again: it may be done, or an earlier copy was applied.
+				a.env.After(20*time.Millisecond, func() { a.cancel(id, tries-1, reply) })
+			default:
+				reply(unavailable)
+			}
+		})
+	})
+}
--- /dev/null
+++ b/internal/leader/leader.go
@@ -0,0 +1,247 @@
+// Package leader elects one leader through a key of the state service that is
+// bound to a lease. The key's revision is the token: it rises with every
+// leader, and every transaction of a leader is conditional on it.
+package leader
+
+import (
+	"fmt"
+	"time"
+
+	"brooklb/internal/actor"
+	"brooklb/internal/statestore"
+	"brooklb/internal/wire"
+)
+
+// Key is the leader's key.
+const Key = statestore.Prefix + "leader"
+
+const (
+	ttl     = 3 * time.Second
+	renew   = 700 * time.Millisecond
+	confirm = 700 * time.Millisecond
+)
+
+type record struct {
+	Node  string `json:"node"`
+	Nonce string `json:"nonce"`
+	V     int    `json:"v"`
+}
+
+// Actor takes part in the election and, while it leads, proves it.
+type Actor struct {
+	env    actor.Env
+	store  *statestore.Store
+	label  string
+	nonce  string
+	permit uint64
+	trying bool
+	token  uint64 // 0: not leading
+	// proven is when the last question was sent whose answer proved both that
+	// we lead and that the replica has everything up to then.
+	proven  time.Duration
+	onLead  func(token uint64)
+	onLose  func()
+	known   record
+	knownAt uint64
+}
+
+// New makes the actor. onLead is called once the replica holds everything up
+// to our own election; onLose when another may lead.
+func New(env actor.Env, store *statestore.Store, label string, onLead func(uint64), onLose func()) *Actor {
+	a := &Actor{env: env, store: store, label: label, onLead: onLead, onLose: onLose,
+		nonce: fmt.Sprintf("%s-%x", label, env.Rand().Uint64())}
+	store.Subscribe(func(key string, it *statestore.Item) {
+		if key == Key {
+			a.seen(it)
+		}
+	})
+	store.OnResync(func() {
+		if it, ok := store.Peek(Key); ok {
+			a.seen(&it)
+		} else {
+			a.seen(nil)
+		}
+	})
+	return a
+}
+
+// Start begins to take part.
+func (a *Actor) Start() { a.tick() }
+
+// Token is the current token, 0 when not leading.
+func (a *Actor) Token() uint64 { return a.token }
+
+// Leader is the label of the leader as far as known, "" if there is none.
+func (a *Actor) Leader() string { return a.known.Node }
+
+// Proven is when it was last certain that we lead and know everything.
+func (a *Actor) Proven() time.Duration { return a.proven }
+
+func (a *Actor) tick() {
+	a.env.After(200*time.Millisecond, a.tick)
+	if a.token == 0 && a.known.Node == "" && a.store.Synced() {
+		a.try()
+	}
+}
+
+func (a *Actor) seen(it *statestore.Item) {
+	a.known, a.knownAt = record{}, 0
+	if it != nil {
+		if err := wire.Decode(it.Value, &a.known); err != nil {
+			a.env.Log().Error("leader key can't be read", "err", err)
+			a.known.Node = "?"
+		}
+		a.knownAt = it.Stamp
+	}
+	if a.token != 0 && (it == nil || it.Stamp != a.token) {
+		a.lose("the leader key has changed")
+	}
+	if it == nil && a.token == 0 {
+		// Spread the candidates so that one round usually decides.
+		a.env.After(time.Duration(a.env.Rand().IntN(60))*time.Millisecond, a.try)
+	}
+}
+
+func (a *Actor) lose(why string) {
+	if a.token == 0 {
+		return
+	}
+	a.env.Log().Info("no longer leading", "token", a.token, "why", why)
+	a.token = 0
+	a.store.SetLeading(false)
+	a.onLose()
+	a.permit = 0
+}
+
+func (a *Actor) try() {
+	if a.trying || a.token != 0 || a.known.Node != "" || !a.store.Synced() {
+		return
+	}
+	a.trying = true
+	a.nonce = fmt.Sprintf("%s-%x", a.label, a.env.Rand().Uint64())
+	asked := a.env.Now()
+	a.store.Grant(ttl, func(permit uint64, ok bool) {
+		if !ok {
+			a.trying = false
+			return
+		}
+		a.claim(permit, asked, a.record(), 3)
+	})
+}
+
+func (a *Actor) record() []byte {
+	return wire.Encode(record{Node: a.label, Nonce: a.nonce, V: 1})
+}
+
+func (a *Actor) claim(permit uint64, asked time.Duration, value []byte, tries int) {
+	t := wire.Txn{When: []wire.Cond{{Path: Key}}, Apply: []wire.Change{{Write: Key, Value: value, Permit: permit}}}
+	a.store.Commit(t, true, func(r statestore.Result, epoch uint64, _ []string) {
+		switch {
+		case r == statestore.OK:
+			a.won(permit, epoch, asked)
+		case r == statestore.Maybe && tries > 0:
+			a.claim(permit, asked, value, tries-1)
+		case r == statestore.Conflict:
+			// Ours after all, if an earlier copy of the claim was applied.
+			a.store.Get(Key, func(it *statestore.Item, ok bool) {
+				var rec record
+				if ok && it != nil && wire.Decode(it.Value, &rec) == nil && rec.Nonce == a.nonce {
+					a.won(permit, it.Stamp, asked)
+					return
+				}
+				a.trying = false
+				a.store.Release(permit)
+			})
+		default:
+			a.trying = false
+			a.store.Release(permit)
+		}
+	})
+}
+
+func (a *Actor) won(permit, token uint64, asked time.Duration) {
+	a.trying = false
+	a.permit, a.token = permit, token
+	a.known, a.knownAt = record{Node: a.label, Nonce: a.nonce}, token
+	a.proven = asked
+	a.store.SetLeading(true)
+	a.env.Log().Info("elected", "token", token)
+	a.keep(token)
+	a.confirm()
+	a.store.WhenAt(token, func() {
+		if a.token == token {
+			a.onLead(token)
+		}
+	})
+}
+
+func (a *Actor) keep(first uint64) {
+	permit := a.permit
+	a.store.Renew(permit, func(ok, gone bool) {
+		if a.permit != permit || a.token == 0 {
+			return
+		}
+		if gone {
+			a.lose("the lease has ended")
+			return
+		}
+		d := renew
+		if !ok {
+			d = 250 * time.Millisecond
+		}
+		a.env.After(d, func() {
+			if a.permit == permit && a.token != 0 {
+				a.keep(first)
+			}
+		})
+	})
+}
+
+// confirm asks whether we still lead. The answer carries the revision the
+// replica has to reach before it can be called complete as of the question.
+func (a *Actor) confirm() {
+	token := a.token
+	if token == 0 {
+		return
+	}
+	asked := a.env.Now()
+	t := wire.Txn{When: []wire.Cond{{Path: Key, Stamp: token}}}
+	a.store.Commit(t, true, func(r statestore.Result, epoch uint64, _ []string) {
+		if a.token != token {
+			if a.token != 0 {
+				a.env.After(confirm, a.confirm)
+			}
+			return
+		}
+		switch r {
+		case statestore.OK:
+			a.store.WhenAt(epoch, func() {
+				if a.token == token {
+					a.proven = max(a.proven, asked)
+				}
+			})
+		case statestore.Conflict:
+			a.lose("another took over")
+			return
+		}
+		a.env.After(confirm, a.confirm)
+	})
+}
+
+// Deposed tells the actor that a transaction failed on the leader key.
+func (a *Actor) Deposed(token uint64) {
+	if a.token == token {
+		a.lose("a transaction failed on the leader key")
+	}
+}
+
+// Resign gives up leadership on purpose, for example when changes were missed
+// and the picture has to be built anew under a new token.
+func (a *Actor) Resign(why string) {
+	if a.token == 0 {
+		return
+	}
+	permit := a.permit
+	a.lose(why)
+	a.store.Release(permit)
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,872 @@
+// Package ledger is the leader's truth of jobs, tasks, placements and quotas.
+// It writes before anybody acts: a placement can be started only once it is
+// durable, and it occupies its machine, its team's limit and its zone from the
+// moment it is planned until it is proven absent.
+package ledger
+
+import (
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"brooklb/internal/actor"
+	"brooklb/internal/leader"
+	"brooklb/internal/model"
+	"brooklb/internal/settings"
+	"brooklb/internal/statestore"
+	"brooklb/internal/wire"
+)
+
+var _ = http.StatusOK
+
+// Task of a job.
+type Task struct {
+	Done      bool
+	Attempt   uint64
+	P         *Placement
+	NotBefore time.Duration
+	Errors    int
+	Avoid     *Machine // machine the task failed on last
+}
+
+// Chunk is the durable form of up to ChunkTasks tasks.
+type chunk struct {
+	stamp    uint64
+	dirty    bool
+	inFlight bool
+	since    time.Duration
+	urgent   bool
+}
+
+// Job is a job that is not over, or whose tasks are not all gone.
+type Job struct {
+	Spec    *model.Spec
+	Stamp   uint64
+	At      int64
+	Since   time.Duration // acceptance on our steady clock
+	Rec     *JobRecord
+	Final   string
+	Tasks   []Task
+	chunks  []chunk
+	NDone   int
+	Placed  int
+	Broken  bool // a gang that lost a task and waits for the others to go
+	Why     string
+	Waits   string // why the job currently can't be placed
+	Started bool   // gang: seen running in this attempt
+	closing bool   // the final record is being written
+	erred   map[*Machine]bool
+	next    int // hint for the first task that may be idle
+}
+
+// Placement is one attempt of a task on a machine.
+type Placement struct {
+	Job       *Job
+	Task      int
+	Attempt   uint64
+	M         *Machine
+	Durable   bool
+	Inherited bool   // recorded by an earlier leader
+	Session   uint64 // session in which we told the worker to start it
+	Seen      bool
+	Phase     model.Phase
+	Since     time.Duration // of the placement
+	RunSince  time.Duration
+	Stopping  bool
+	GraceS    float64
+	StopSince time.Duration
+	StopSent  time.Duration
+	StopWhy   string
+	SentAt    time.Duration
+	Gone      bool
+}
+
+// Machine is a rented machine as far as known.
+type Machine struct {
+	Name, Addr, Type, Zone string
+	Spot                   bool
+	Known                  bool // type and zone are known
+	Cap                    model.Need
+	Used                   model.Need
+	P                      map[*Placement]struct{}
+	Session, Seq, Token    uint64
+	Heard                  bool          // has reported in this term
+	LastHeard              time.Duration // last report
+	LastAnswered           time.Duration // last report that we answered with our token
+	TokenSeen              bool          // the worker has seen our token
+	Notice                 bool
+	Leaving                bool // to be returned
+	ReturnSent             bool
+	Gone                   bool
+	Listed                 string
+	ListedAt               time.Duration
+	FirstSeen              time.Duration
+	RentedAt               time.Duration // request, on our steady clock
+	IdleSince              time.Duration
+	NoPlace                time.Duration // no new placements before
+	Errs                   int
+	Ambiguous              map[string]uint64 // starts that may yet arrive: task/attempt -> session
+	Images                 map[string]time.Duration
+	ImageGB                map[string]float64
+	Direct                 int // direct commands under way
+	Ended                  []model.TaskReport
+	Strays                 []model.TaskReport
+	Missing                int
+}
+
+// Free is what is left on the machine.
+func (m *Machine) Free() model.Need { return m.Cap.Sub(m.Used) }
+
+// Team with its use.
+type Team struct {
+	settings.Team
+	Used model.Need
+}
+
+// Within reports whether n more stays inside the team's limit.
+func (t *Team) Within(n model.Need) bool {
+	u := t.Used.Add(n)
+	return (t.CPUsMax <= 0 || u.CPUs <= t.CPUsMax+1e-6) && (t.GPUsMax <= 0 || u.GPUs <= t.GPUsMax+1e-6)
+}
+
+// InGuarantee reports whether the team's use plus n stays in its guarantee.
+func (t *Team) InGuarantee(n model.Need) bool {
+	u := t.Used.Add(n)
+	if t.CPUs <= 0 && t.GPUs <= 0 {
+		return false
+	}
+	return (t.CPUs <= 0 || u.CPUs <= t.CPUs+1e-6) && (t.GPUs <= 0 || u.GPUs <= t.GPUs+1e-6)
+}
+
+// Ledger of one leader's term.
+type Ledger struct {
+	env      actor.Env
+	store    *statestore.Store
+	token    uint64
+	Jobs     map[string]*Job
+	Machines map[string]*Machine
+	Teams    map[string]*Team
+	Types    map[string]*model.MachineType
+	// Returned has the machines that the cloud says are gone. Their reports
+	// and list entries may still be on their way; names are not used again.
+	Returned map[string]bool
+	order    []*Job
+	dirty    []*dirtyRef
+	flying   bool
+	stopped  bool
+	resting  *actor.Timer
+	// Hooks of the term.
+	OnDurable func(p []*Placement)
+	OnChange  func()
+	OnStop    func(p *Placement)
+	OnDeposed func()
+	MaxOps    int
+}
+
+type dirtyRef struct {
+	job *Job
+	n   int
+}
+
+// New makes the ledger of a term from the replica.
+func New(env actor.Env, store *statestore.Store, token uint64, teams []settings.Team) *Ledger {
+	l := &Ledger{env: env, store: store, token: token, Jobs: map[string]*Job{}, Machines: map[string]*Machine{},
+		Teams: map[string]*Team{}, Returned: map[string]bool{}, Types: map[string]*model.MachineType{}, MaxOps: store.Config().TxnOps}
+	for _, t := range teams {
+		l.Teams[t.Name] = &Team{Team: t}
+	}
+	return l
+}
+
+// Load builds the picture from the replica, which the caller knows to be
+// complete up to our token.
+func (l *Ledger) Load() {
+	l.store.Each(JobPrefix, func(k string, it statestore.Item) { l.JobEvent(k, &it) })
+	l.store.Each(ChunkPrefix, func(k string, it statestore.Item) { l.loadChunk(k, it) })
+	for _, j := range l.Jobs {
+		if j.Final != Open && j.Placed == 0 {
+			l.forgetIfOver(j)
+		}
+	}
+}
+
+// Close ends the term: nothing is written any more.
+func (l *Ledger) Close() {
+	l.stopped = true
+	l.resting.Stop()
+}
+
+// Order lists the open jobs in the order of their acceptance.
+func (l *Ledger) Order() []*Job { return l.order }
+
+// JobEvent hears of a job record's change.
+func (l *Ledger) JobEvent(key string, it *statestore.Item) {
+	id := strings.TrimPrefix(key, JobPrefix)
+	j := l.Jobs[id]
+	if it == nil {
+		if j != nil {
+			l.env.Log().Error("a job record has vanished", "job", id)
+		}
+		return
+	}
+	if j != nil && j.Stamp >= it.Stamp {
+		return
+	}
+	r, err := DecodeRecord(id, it.Value)
+	if err != nil {
+		l.env.Log().Error("job record can't be read, kept as it is", "key", key, "err", err)
+		return
+	}
+	if j == nil {
+		if r.spec == nil || r.Final == Done {
+			return
+		}
+		if r.Final != Open && !l.hasChunks(id) {
+			return
+		}
+		j = &Job{Spec: r.spec, At: r.At, Tasks: make([]Task, r.Tasks), erred: map[*Machine]bool{},
+			chunks: make([]chunk, (r.Tasks+ChunkTasks-1)/ChunkTasks)}
+		age := max(0, l.env.Wall().UnixMilli()-r.At)
+		j.Since = l.env.Now() - time.Duration(age)*time.Millisecond
+		l.Jobs[id] = j
+		i := sort.Search(len(l.order), func(i int) bool { return l.order[i].Since > j.Since })
+		l.order = append(l.order, nil)
+		copy(l.order[i+1:], l.order[i:])
+		l.order[i] = j
+	}
+	j.Stamp, j.Rec = it.Stamp, r
+	if r.Final != Open && j.Final == Open {
+		j.Final = r.Final
+		l.env.Log().Info("job over", "job", id, "phase", r.Final)
+		l.abandon(j)
+	}
+	if l.OnChange != nil {
+		l.OnChange()
+	}
+}
+
+func (l *Ledger) hasChunks(id string) bool {
+	_, ok := l.store.Peek(ChunkKey(id, 0))
+	if ok {
+		return true
+	}
+	found := false
+	// Chunks of long arrays are not written in order.
+	l.store.Each(ChunkPrefix+id+"/", func(string, statestore.Item) { found = true })
+	return found
+}
+
+func (l *Ledger) loadChunk(key string, it statestore.Item) {
+	rest := strings.TrimPrefix(key, ChunkPrefix)
+	i := strings.LastIndexByte(rest, '/')
+	if i < 0 {
+		return
+	}
+	j := l.Jobs[rest[:i]]
+	n, err := strconv.Atoi(rest[i+1:])
+	if j == nil || err != nil || n < 0 || n >= len(j.chunks) {
+		return
+	}
+	st, why, err := decodeChunk(key, it.Value)
+	if err != nil {
+		l.env.Log().Error("chunk can't be read, its job is left alone", "key", key, "err", err)
+		j.Waits = "its record can't be read"
+		j.closing = true
+		return
+	}
+	j.chunks[n].stamp = it.Stamp
+	if why != "" {
+		j.Why = why
+	}
+	for k, s := range st {
+		t := n*ChunkTasks + k
+		if t >= len(j.Tasks) {
+			break
+		}
+		task := &j.Tasks[t]
+		task.Attempt = s.attempt
+		if s.done {
+			task.Done = true
+			j.NDone++
+		} else if s.machine != "" {
+			m := l.Machine(s.machine)
+			p := &Placement{Job: j, Task: t, Attempt: s.attempt, M: m, Durable: true, Inherited: true, Since: l.env.Now()}
+			l.occupy(p)
+			if j.Final != Open {
+				p.Stopping, p.StopWhy = true, model.CauseCancelled
+			}
+		}
+	}
+	if j.Spec.Kind == model.Gang {
+		l.checkGang(j)
+	}
+}
+
+func (l *Ledger) checkGang(j *Job) {
+	if j.Placed > 0 && j.Placed < len(j.Tasks) && j.Final == Open {
+		// Only part of the gang is recorded: the rest can't be known to join.
+		complete := true
+		for i := range j.chunks {
+			if j.chunks[i].stamp == 0 {
+				complete = false
+			}
+		}
+		if complete || len(j.chunks) == 1 {
+			l.breakGang(j, model.CauseLost)
+		}
+	}
+}
+
+// Machine finds or makes the entry of a machine.
+func (l *Ledger) Machine(name string) *Machine {
+	m := l.Machines[name]
+	if m == nil {
+		m = &Machine{Name: name, P: map[*Placement]struct{}{}, FirstSeen: l.env.Now(), IdleSince: l.env.Now(),
+			Images: map[string]time.Duration{}, ImageGB: map[string]float64{}, Ambiguous: map[string]uint64{}, RentedAt: l.env.Now()}
+		l.Machines[name] = m
+	}
+	return m
+}
+
+// Describe fills in what a machine is.
+func (l *Ledger) Describe(m *Machine, typ, zone string, spot bool) {
+	m.Type, m.Zone, m.Spot = typ, zone, spot
+	if t := l.Types[typ]; t != nil {
+		m.Cap = t.Cap
+		m.Known = true
+	}
+}
+
+// Remove forgets a machine that is gone; everything on it is gone too.
+func (l *Ledger) Remove(m *Machine, why string) {
+	m.Gone = true
+	l.Returned[m.Name] = true
+	for _, p := range m.List() {
+		l.Lost(p, why)
+	}
+	delete(l.Machines, m.Name)
+}
+
+// List is the machine's placements in a fixed order.
+func (m *Machine) List() []*Placement {
+	out := make([]*Placement, 0, len(m.P))
+	for p := range m.P {
+		out = append(out, p)
+	}
+	sort.Slice(out, func(a, b int) bool {
+		if out[a].Job.Spec.ID != out[b].Job.Spec.ID {
+			return out[a].Job.Spec.ID < out[b].Job.Spec.ID
+		}
+		return out[a].Task < out[b].Task
+	})
+	return out
+}
+
+func (l *Ledger) occupy(p *Placement) {
+	j := p.Job
+	j.Tasks[p.Task].P = p
+	j.Placed++
+	p.M.P[p] = struct{}{}
+	p.M.Used = p.M.Used.Add(j.Spec.Need)
+	if t := l.Teams[j.Spec.Team]; t != nil {
+		t.Used = t.Used.Add(j.Spec.Need)
+	}
+}
+
+func (l *Ledger) vacate(p *Placement) {
+	j := p.Job
+	if p.Gone {
+		return
+	}
+	p.Gone = true
+	j.Tasks[p.Task].P = nil
+	j.Placed--
+	delete(p.M.P, p)
+	p.M.Used = p.M.Used.Sub(j.Spec.Need)
+	if len(p.M.P) == 0 {
+		p.M.Used = model.Need{}
+		p.M.IdleSince = l.env.Now()
+	}
+	if t := l.Teams[j.Spec.Team]; t != nil {
+		t.Used = t.Used.Sub(j.Spec.Need)
+	}
+	j.next = min(j.next, p.Task)
+}
+
+// Plan places an idle task on a machine. The start follows once it is durable.
+func (l *Ledger) Plan(j *Job, task int, attempt uint64, m *Machine) *Placement {
+	t := &j.Tasks[task]
+	t.Attempt = attempt
+	p := &Placement{Job: j, Task: task, Attempt: attempt, M: m, Since: l.env.Now()}
+	l.occupy(p)
+	l.touch(j, task, true)
+	return p
+}
+
+// Touch marks a task's record as changed.
+func (l *Ledger) touch(j *Job, task int, urgent bool) {
+	c := &j.chunks[task/ChunkTasks]
+	c.urgent = c.urgent || urgent
+	if !c.dirty {
+		c.dirty = true
+		c.since = l.env.Now()
+		l.dirty = append(l.dirty, &dirtyRef{j, task / ChunkTasks})
+	}
+	if l.resting == nil {
+		// Let the changes of one step gather into one transaction.
+		l.resting = l.env.After(2*time.Millisecond, func() { l.resting = nil; l.flush() })
+	}
+}
+
+// Clean reports whether everything known of the task is durable.
+func (j *Job) Clean(task int) bool {
+	c := &j.chunks[task/ChunkTasks]
+	return !c.dirty && !c.inFlight
+}
+
+// Finished records that a task is done. Its placement, if any, is gone.
+func (l *Ledger) Finished(j *Job, task int) {
+	t := &j.Tasks[task]
+	if p := t.P; p != nil {
+		l.vacate(p)
+	}
+	if t.Done || j.Spec.Kind == model.Service {
+		return
+	}
+	t.Done = true
+	j.NDone++
+	l.touch(j, task, false)
+	if j.Spec.Kind == model.Gang {
+		// The tasks of a gang complete together: one done, all done.
+		for i := range j.Tasks {
+			if !j.Tasks[i].Done && j.Tasks[i].P == nil {
+				j.Tasks[i].Done = true
+				j.NDone++
+				l.touch(j, i, false)
+			}
+		}
+	}
+	if l.OnChange != nil {
+		l.OnChange()
+	}
+}
+
+// Lost records that a placement is proven absent without having completed.
+func (l *Ledger) Lost(p *Placement, why string) {
+	if p.Gone {
+		return
+	}
+	j := p.Job
+	durable := p.Durable
+	l.vacate(p)
+	if j.Final == Open {
+		if why != model.CauseStopped || p.StopWhy != "" {
+			cause := why
+			if p.StopWhy != "" {
+				cause = p.StopWhy
+			}
+			j.Why = "task " + strconv.Itoa(p.Task) + " attempt " + strconv.FormatUint(p.Attempt, 10) + " on " + p.M.Name + ": " + cause
+		}
+		l.env.Log().Info("task gone", "job", j.Spec.ID, "task", p.Task, "attempt", p.Attempt, "machine", p.M.Name, "why", why, "stop", p.StopWhy)
+	}
+	if durable || j.chunks[p.Task/ChunkTasks].stamp != 0 || j.chunks[p.Task/ChunkTasks].inFlight {
+		l.touch(j, p.Task, false)
+	}
+	if j.Spec.Kind == model.Gang && j.Final == Open && !j.Tasks[p.Task].Done {
+		someDone := false
+		for i := range j.Tasks {
+			if j.Tasks[i].Done {
+				someDone = true
+			}
+		}
+		if someDone {
+			l.Finished(j, p.Task)
+		} else {
+			l.breakGang(j, why)
+		}
+	}
+	l.forgetIfOver(j)
+	if l.OnChange != nil {
+		l.OnChange()
+	}
+}
+
+// breakGang stops what is left of a gang. The next attempt may begin when all
+// of the old one is gone everywhere.
+func (l *Ledger) breakGang(j *Job, why string) {
+	j.Started = false
+	if j.Placed == 0 {
+		j.Broken = false
+		return
+	}
+	j.Broken = true
+	for i := range j.Tasks {
+		if p := j.Tasks[i].P; p != nil && !p.Stopping {
+			l.Stop(p, 0, "the gang lost a task: "+why)
+		}
+	}
+}
+
+// Stop asks for the end of a placement. One that nobody was told of is gone
+// at once.
+func (l *Ledger) Stop(p *Placement, graceS float64, why string) {
+	if p.Gone {
+		return
+	}
+	if p.Stopping && p.GraceS <= graceS {
+		return
+	}
+	if !p.Stopping {
+		p.StopSince = l.env.Now()
+		p.StopWhy = why
+	}
+	p.Stopping, p.GraceS, p.StopSent = true, graceS, 0
+	if !p.Durable {
+		l.Lost(p, model.CauseStopped)
+		return
+	}
+	if l.OnStop != nil {
+		l.OnStop(p)
+	}
+}
+
+func (l *Ledger) abandon(j *Job) {
+	for i := range j.Tasks {
+		if p := j.Tasks[i].P; p != nil {
+			l.Stop(p, 0, model.CauseCancelled)
+		}
+	}
+	l.forgetIfOver(j)
+}
+
+// forgetIfOver drops a job whose end is durable and of which nothing is left;
+// its chunks are deleted.
+func (l *Ledger) forgetIfOver(j *Job) {
+	if j.Final == Open || j.Placed > 0 {
+		return
+	}
+	for i := range j.chunks {
+		if j.chunks[i].inFlight {
+			return
+		}
+	}
+	pending := false
+	for i := range j.chunks {
+		if j.chunks[i].stamp != 0 {
+			pending = true
+			l.touch(j, i*ChunkTasks, false)
+		}
+	}
+	if pending {
+		return
+	}
+	delete(l.Jobs, j.Spec.ID)
+	for i, x := range l.order {
+		if x == j {
+			l.order = append(l.order[:i], l.order[i+1:]...)
+			break
+		}
+	}
+}
+
+func (l *Ledger) encodeChunk(j *Job, n int) []byte {
+	var sb strings.Builder
+	for i := n * ChunkTasks; i < min(len(j.Tasks), (n+1)*ChunkTasks); i++ {
+		t := &j.Tasks[i]
+		if sb.Len() > 0 {
+			sb.WriteByte(' ')
+		}
+		switch {
+		case t.Done:
+			sb.WriteByte('d')
+		case t.P != nil:
+			sb.WriteString(strconv.FormatUint(t.P.Attempt, 10))
+			sb.WriteByte('@')
+			sb.WriteString(t.P.M.Name)
+		default:
+			sb.WriteString(strconv.FormatUint(t.Attempt, 10))
+		}
+	}
+	why := j.Why
+	if len(why) > 160 {
+		why = why[:160]
+	}
+	return wire.Encode(chunkRecord{V: Format, T: sb.String(), W: why})
+}
+
+type flight struct {
+	job    *Job
+	n      int
+	placed []*Placement
+	final  bool
+	drop   bool
+}
+
+// flush writes what is dirty, one transaction at a time. Every transaction is
+// conditional on our leadership, on the job's record (so that a cancellation
+// and a placement can't both win) and on the chunk's last version (so that a
+// transaction that arrives late fails).
+func (l *Ledger) flush() {
+	if l.flying || l.stopped || len(l.dirty) == 0 {
+		return
+	}
+	t := wire.Txn{When: []wire.Cond{{Path: leader.Key, Stamp: l.token}}}
+	var fl []*flight
+	var rest []*dirtyRef
+	size := 0
+	condJob := map[*Job]bool{}
+	// Placements first: somebody waits for them.
+	sort.SliceStable(l.dirty, func(a, b int) bool {
+		return l.dirty[a].job.chunks[l.dirty[a].n].urgent && !l.dirty[b].job.chunks[l.dirty[b].n].urgent
+	})
+	for _, d := range l.dirty {
+		j, c := d.job, &d.job.chunks[d.n]
+		if l.Jobs[j.Spec.ID] != j {
+			continue
+		}
+		room := l.MaxOps - len(t.Apply)
+		need := 1
+		finish := j.Final == Open && !j.closing && j.NDone == len(j.Tasks) && j.Placed == 0 && j.Spec.Kind != model.Service
+		if finish {
+			need = 2
+		}
+		if room < need || size > 48<<10 || len(t.When)+2 > 4*l.MaxOps {
+			rest = append(rest, d)
+			continue
+		}
+		f := &flight{job: j, n: d.n}
+		if !condJob[j] {
+			condJob[j] = true
+			t.When = append(t.When, wire.Cond{Path: JobKey(j.Spec.ID), Stamp: j.Stamp})
+		}
+		key := ChunkKey(j.Spec.ID, d.n)
+		t.When = append(t.When, wire.Cond{Path: key, Stamp: c.stamp})
+		gone := j.Final != Open && j.Placed == 0
+		switch {
+		case finish && len(j.chunks) == 1:
+			rec := *j.Rec
+			rec.Final, rec.Nonce = Done, j.Rec.Nonce
+			v := rec.Encode()
+			t.Apply = append(t.Apply, wire.Change{Write: JobKey(j.Spec.ID), Value: v})
+			if c.stamp != 0 {
+				t.Apply = append(t.Apply, wire.Change{Delete: key})
+			}
+			size += len(v)
+			f.final, f.drop = true, true
+			j.closing = true
+		case gone:
+			if c.stamp == 0 {
+				c.dirty = false
+				t.When = t.When[:len(t.When)-1]
+				continue
+			}
+			t.Apply = append(t.Apply, wire.Change{Delete: key})
+			f.drop = true
+		default:
+			v := l.encodeChunk(j, d.n)
+			size += len(v)
+			t.Apply = append(t.Apply, wire.Change{Write: key, Value: v})
+			for i := d.n * ChunkTasks; i < min(len(j.Tasks), (d.n+1)*ChunkTasks); i++ {
+				if p := j.Tasks[i].P; p != nil && !p.Durable {
+					f.placed = append(f.placed, p)
+				}
+			}
+		}
+		c.dirty, c.urgent, c.inFlight = false, false, true
+		fl = append(fl, f)
+	}
+	l.dirty = rest
+	if len(t.Apply) == 0 {
+		for _, f := range fl {
+			f.job.chunks[f.n].inFlight = false
+		}
+		return
+	}
+	l.flying = true
+	l.store.Commit(t, true, func(r statestore.Result, epoch uint64, failed []string) {
+		l.flying = false
+		if l.stopped {
+			return
+		}
+		l.settle(fl, r, epoch, failed)
+	})
+}
+
+func (l *Ledger) settle(fl []*flight, r statestore.Result, epoch uint64, failed []string) {
+	for _, f := range fl {
+		f.job.chunks[f.n].inFlight = false
+	}
+	if r == statestore.OK {
+		var started []*Placement
+		for _, f := range fl {
+			c := &f.job.chunks[f.n]
+			c.stamp = epoch
+			if f.drop {
+				c.stamp = 0
+			}
+			for _, p := range f.placed {
+				if !p.Gone {
+					p.Durable = true
+					started = append(started, p)
+				}
+			}
+			if f.final {
+				f.job.Final = Done
+				f.job.Stamp = epoch
+			}
+			if l.finishable(f.job) {
+				l.finishLong(f.job)
+			}
+			l.forgetIfOver(f.job)
+		}
+		if len(started) > 0 && l.OnDurable != nil {
+			l.OnDurable(started)
+		}
+		if len(l.dirty) > 0 {
+			l.flush()
+		}
+		return
+	}
+	redo := func() {
+		for _, f := range fl {
+			if f.final {
+				f.job.closing = false
+			}
+			if l.Jobs[f.job.Spec.ID] == f.job {
+				l.touch(f.job, f.n*ChunkTasks, len(f.placed) > 0)
+			}
+		}
+	}
+	switch r {
+	case statestore.Conflict:
+		for _, k := range failed {
+			if k == leader.Key {
+				if l.OnDeposed != nil {
+					l.OnDeposed()
+				}
+				return
+			}
+		}
+		l.reread(failed, redo)
+	case statestore.Maybe:
+		// It may have been applied or may be yet. Writing again with the same
+		// versions settles it: whichever comes first makes the other fail.
+		redo()
+	default:
+		l.flying = true
+		l.env.After(100*time.Millisecond, func() { l.flying = false; redo() })
+	}
+}
+
+// reread learns the versions of keys on which a transaction failed.
+func (l *Ledger) reread(keys []string, then func()) {
+	if len(keys) == 0 || l.stopped {
+		if !l.stopped {
+			then()
+		}
+		return
+	}
+	l.flying = true
+	key := keys[0]
+	l.store.Get(key, func(it *statestore.Item, ok bool) {
+		if l.stopped {
+			return
+		}
+		if !ok {
+			l.env.After(100*time.Millisecond, func() { l.reread(keys, then) })
+			return
+		}
+		l.learn(key, it)
+		l.flying = false
+		l.reread(keys[1:], then)
+	})
+}
+
+func (l *Ledger) learn(key string, it *statestore.Item) {
+	if strings.HasPrefix(key, JobPrefix) {
+		l.JobEvent(key, it)
+		if j := l.Jobs[strings.TrimPrefix(key, JobPrefix)]; j != nil && it != nil && j.Final == Done {
+			l.forgetIfOver(j)
+		}
+		return
+	}
+	rest := strings.TrimPrefix(key, ChunkPrefix)
+	if i := strings.LastIndexByte(rest, '/'); i > 0 {
+		if j := l.Jobs[rest[:i]]; j != nil {
+			if n, err := strconv.Atoi(rest[i+1:]); err == nil && n < len(j.chunks) {
+				j.chunks[n].stamp = 0
+				if it != nil {
+					j.chunks[n].stamp = it.Stamp
+				}
+			}
+		}
+	}
+}
+
+func (l *Ledger) finishable(j *Job) bool {
+	if len(j.chunks) == 1 || j.Final != Open || j.closing || j.NDone != len(j.Tasks) || j.Spec.Kind == model.Service {
+		return false
+	}
+	for i := range j.chunks {
+		if j.chunks[i].dirty || j.chunks[i].inFlight {
+			return false
+		}
+	}
+	return true
+}
+
+// finishLong closes a job of several chunks, once all of them are durable.
+func (l *Ledger) finishLong(j *Job) {
+	j.closing = true
+	rec := *j.Rec
+	rec.Final = Done
+	t := wire.Txn{When: []wire.Cond{{Path: leader.Key, Stamp: l.token}, {Path: JobKey(j.Spec.ID), Stamp: j.Stamp}},
+		Apply: []wire.Change{{Write: JobKey(j.Spec.ID), Value: rec.Encode()}}}
+	l.store.Commit(t, true, func(r statestore.Result, epoch uint64, failed []string) {
+		if l.stopped {
+			return
+		}
+		j.closing = false
+		switch r {
+		case statestore.OK:
+			j.Final, j.Stamp = Done, epoch
+			l.forgetIfOver(j)
+		case statestore.Conflict:
+			for _, k := range failed {
+				if k == leader.Key {
+					if l.OnDeposed != nil {
+						l.OnDeposed()
+					}
+					return
+				}
+			}
+			l.store.Get(JobKey(j.Spec.ID), func(it *statestore.Item, ok bool) {
+				if ok && !l.stopped {
+					l.JobEvent(JobKey(j.Spec.ID), it)
+				}
+			})
+		default:
+			l.env.After(300*time.Millisecond, func() {
+				if !l.stopped && l.finishable(j) {
+					l.finishLong(j)
+				}
+			})
+		}
+	})
+}
+
+// Kick retries what was left over.
+func (l *Ledger) Kick() {
+	l.flush()
+	for _, j := range l.order {
+		if l.finishable(j) {
+			l.finishLong(j)
+			return
+		}
+	}
+}
+
+// Readable reports whether all of the job's record could be read.
+func (j *Job) Readable() bool { return !j.closing }
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,217 @@
+// Package node wires the actors of one controller together.
+package node
+
+import (
+	"time"
+
+	"brooklb/internal/actor"
+	"brooklb/internal/admission"
+	"brooklb/internal/fleet"
+	"brooklb/internal/httpx"
+	"brooklb/internal/leader"
+	"brooklb/internal/ledger"
+	"brooklb/internal/model"
+	"brooklb/internal/placement"
+	"brooklb/internal/settings"
+	"brooklb/internal/statestore"
+	"brooklb/internal/wire"
+	"brooklb/internal/workers"
+)
+
+// Node is one controller.
+type Node struct {
+	env   actor.Env
+	set   *settings.Settings
+	store *statestore.Store
+	elect *leader.Actor
+	adm   *admission.Actor
+	term  *term
+	hold  time.Duration
+}
+
+// term is everything that exists only while this node leads.
+type term struct {
+	n         *Node
+	token     uint64
+	led       *ledger.Ledger
+	workers   *workers.Actor
+	fleet     *fleet.Actor
+	scheduled bool
+	closed    bool
+	lastPass  time.Duration
+	left      []*ledger.Job
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// New makes a node; Start sets it going.
+func New(env actor.Env, set *settings.Settings) *Node {
+	f := &set.Facts
+	n := &Node{env: env, set: set}
+	// A leader that can't reach the state service may keep workers' leases
+	// alive for so long that a job cancelled through another node is still gone
+	// in time: the hold, then a lease, with a margin for drift and delays.
+	n.hold = max(500*time.Millisecond, seconds(f.Workers.CancelS-f.Workers.LeaseS-4))
+	n.store = statestore.New(env, statestore.Config{Addr: set.External.State, RPS: f.State.RPS, WriteRPS: f.State.WriteRPS,
+		Nodes: f.Nodes, TxnOps: f.State.TxnOps, ValueBytes: int(f.State.ValueKB * 1024)})
+	n.adm = admission.New(env, n.store, f.Teams, f.Zones)
+	n.adm.Live = n.live
+	n.adm.Healthy = n.healthy
+	n.store.Subscribe(func(key string, it *statestore.Item) {
+		if t := n.term; t != nil && len(key) > len(ledger.JobPrefix) && key[:len(ledger.JobPrefix)] == ledger.JobPrefix {
+			t.led.JobEvent(key, it)
+		}
+	})
+	n.elect = leader.New(env, n.store, set.Label, n.lead, n.lose)
+	n.store.OnResync(func() { n.elect.Resign("changes of the state service were missed") })
+	return n
+}
+
+// Start begins to work.
+func (n *Node) Start() {
+	n.store.Start()
+	n.elect.Start()
+}
+
+// Leading reports whether the node leads, and its token.
+func (n *Node) Leading() (uint64, bool) { return n.elect.Token(), n.term != nil }
+
+func (n *Node) healthy() bool {
+	return n.store.Synced() && n.env.Now()-n.store.Contact() < 15*time.Second
+}
+
+func (n *Node) live(id string) (done, running int, why string, ok bool) {
+	if n.term == nil {
+		return 0, 0, "", false
+	}
+	j := n.term.led.Jobs[id]
+	if j == nil {
+		return 0, 0, "", false
+	}
+	for i := range j.Tasks {
+		if p := j.Tasks[i].P; p != nil && (p.Phase == model.Running || p.Phase == model.Saving) {
+			running++
+		}
+	}
+	why = j.Why
+	if running == 0 && j.Waits != "" {
+		why = j.Waits
+	}
+	return j.NDone, running, why, true
+}
+
+// Serve implements httpx.Handler.
+func (n *Node) Serve(r *httpx.Request, peer bool, reply func(httpx.Response)) {
+	if !peer {
+		if r.Path == wire.PathReport {
+			n.report(r, reply)
+			return
+		}
+		if n.adm.Serve(r, reply) {
+			return
+		}
+	}
+	reply(httpx.Response{Status: 404, Body: wire.Error("no such path")})
+}
+
+func (n *Node) report(r *httpx.Request, reply func(httpx.Response)) {
+	if r.Method != "POST" {
+		reply(httpx.Response{Status: 405, Body: wire.Error("POST only")})
+		return
+	}
+	t := n.term
+	if t == nil {
+		label := n.elect.Leader()
+		if label == n.set.Label || n.env.Now()-n.store.Contact() > 4*time.Second {
+			label = "" // not ready yet, or what we know may be old
+		}
+		reply(httpx.Response{Status: 421, Body: wire.ReportsTo(label)})
+		return
+	}
+	if n.env.Now()-n.elect.Proven() > n.hold {
+		// Another may lead by now, and a job may have been cancelled that we
+		// don't know of: the workers' leases must be allowed to run out.
+		reply(httpx.Response{Status: 503, RetryAfter: 1, Body: wire.Error("not sure to lead")})
+		return
+	}
+	rep, err := wire.DecodeReport(r.Body)
+	if err != nil {
+		n.env.Log().Error("bad report", "err", err)
+		reply(httpx.Response{Status: 400, Body: wire.Error(err.Error())})
+		return
+	}
+	orders := t.workers.Report(rep)
+	if n.term != t { // a higher token was seen
+		reply(httpx.Response{Status: 503, RetryAfter: 1, Body: wire.Error("no longer leading")})
+		return
+	}
+	reply(httpx.Response{Status: 200, Body: wire.ReportAnswer(t.token, orders)})
+}
+
+func (n *Node) lead(token uint64) {
+	f := &n.set.Facts
+	t := &term{n: n, token: token}
+	t.led = ledger.New(n.env, n.store, token, f.Teams)
+	t.fleet = fleet.New(n.env, t.led, n.store, token, fleet.Config{Cloud: n.set.External.Cloud, RPS: f.Cloud.RPS,
+		ListLag: seconds(f.Cloud.ListLagS), Report: seconds(f.Workers.ReportS), IdleKeep: 45 * time.Second, Headroom: 0.3})
+	t.led.Load()
+	t.workers = workers.New(n.env, t.led, token, workers.Config{Lease: seconds(f.Workers.LeaseS), Hold: n.hold, Report: seconds(f.Workers.ReportS)})
+	t.workers.OnNewer = func() { n.elect.Deposed(token) }
+	t.workers.OnTrust = func(*ledger.Machine) { t.wake() }
+	t.led.OnDeposed = func() { n.elect.Deposed(token) }
+	t.led.OnChange = t.wake
+	t.fleet.OnChange = t.wake
+	n.term = t
+	n.env.Log().Info("leading", "token", token, "jobs", len(t.led.Jobs))
+	t.tick()
+}
+
+func (n *Node) lose() {
+	if t := n.term; t != nil {
+		t.closed = true
+		t.led.Close()
+		t.workers.Close()
+		t.fleet.Close()
+		n.term = nil
+	}
+}
+
+func (t *term) tick() {
+	if t.closed {
+		return
+	}
+	t.n.env.After(250*time.Millisecond, t.tick)
+	t.workers.Tick()
+	t.fleet.Tick()
+	t.led.Kick()
+	if t.n.env.Now()-t.lastPass > time.Second {
+		t.wake()
+	}
+}
+
+func (t *term) wake() {
+	if t.scheduled || t.closed {
+		return
+	}
+	t.scheduled = true
+	t.n.env.After(3*time.Millisecond, func() {
+		t.scheduled = false
+		if !t.closed {
+			t.pass()
+		}
+	})
+}
+
+// pass places what waits and rents what is missing.
+func (t *term) pass() {
+	now := t.n.env.Now()
+	t.lastPass = now
+	if now-t.n.elect.Proven() > 3*time.Second {
+		return // without the state service nothing is started
+	}
+	for _, j := range t.led.Order() {
+		t.fleet.Arrived(j)
+	}
+	t.left = placement.Run(t.led, &placement.View{Now: now, Silent: 3 * seconds(t.n.set.Facts.Workers.ReportS)})
+	t.fleet.Rent(t.left)
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,200 @@
+// Package settings reads what the platform hands over and checks it.
+package settings
+
+import (
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"strconv"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Peer is another controller.
+type Peer struct {
+	Label    string `toml:"label"`
+	Location string `toml:"location"`
+	Endpoint string `toml:"endpoint"`
+}
+
+// Team is a team with its guarantee and limit; 0 means none.
+type Team struct {
+	Name    string  `toml:"name"`
+	CPUs    float64 `toml:"cpus"`
+	CPUsMax float64 `toml:"cpus_max"`
+	GPUs    float64 `toml:"gpus"`
+	GPUsMax float64 `toml:"gpus_max"`
+}
+
+// Objective is one of the operators' aims.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	WithinS float64 `toml:"within_s"`
+	Share   float64 `toml:"share"`
+	Times   float64 `toml:"times"`
+}
+
+// Settings is the platform's file.
+type Settings struct {
+	Label         string `toml:"label"`
+	Location      string `toml:"location"`
+	Bind          string `toml:"bind"`
+	ClusterListen string `toml:"cluster_listen"`
+	Peers         []Peer `toml:"peers"`
+	External      struct {
+		Cloud string `toml:"cloud"`
+		State string `toml:"state"`
+	} `toml:"external"`
+	Facts struct {
+		Nodes      int         `toml:"nodes"`
+		Zones      []string    `toml:"zones"`
+		SkewMS     float64     `toml:"skew_ms"`
+		Teams      []Team      `toml:"teams"`
+		Objectives []Objective `toml:"objectives"`
+		Workers    struct {
+			ReportS   float64 `toml:"report_s"`
+			LeaseS    float64 `toml:"lease_s"`
+			GangWaitS float64 `toml:"gang_wait_s"`
+			GangPeerS float64 `toml:"gang_peer_s"`
+			CancelS   float64 `toml:"cancel_s"`
+		} `toml:"workers"`
+		State struct {
+			RPS      float64 `toml:"rps"`
+			WriteRPS float64 `toml:"write_rps"`
+			ValueKB  float64 `toml:"value_kb"`
+			TxnOps   int     `toml:"txn_ops"`
+		} `toml:"state"`
+		Cloud struct {
+			RPS      float64 `toml:"rps"`
+			ListLagS float64 `toml:"list_lag_s"`
+		} `toml:"cloud"`
+		Limits struct {
+			CPUShare float64 `toml:"cpu_share"`
+			MemMB    float64 `toml:"mem_mb"`
+			Sockets  int     `toml:"sockets"`
+		} `toml:"limits"`
+	} `toml:"facts"`
+}
+
+// Load reads and checks the file. Unknown fields are ignored. An error names
+// the file, the field and the reason in one line.
+func Load(file string) (*Settings, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(file, b)
+}
+
+// Parse is Load for content at hand; name is used in errors.
+func Parse(name string, b []byte) (*Settings, error) {
+	var s Settings
+	if err := toml.Unmarshal(b, &s); err != nil {
+		if de, ok := err.(*toml.DecodeError); ok {
+			row, col := de.Position()
+			field := ""
+			for i, k := range de.Key() {
+				if i > 0 {
+					field += "."
+				}
+				field += k
+			}
+			return nil, fmt.Errorf("settings: %s:%d:%d: field %q: %s", name, row, col, field, de.Error())
+		}
+		return nil, fmt.Errorf("settings: %s: %w", name, err)
+	}
+	if err := s.check(); err != nil {
+		return nil, fmt.Errorf("settings: %s: %w", name, err)
+	}
+	return &s, nil
+}
+
+func addr(field, v string) error {
+	if v == "" {
+		return fmt.Errorf("field %s: missing", field)
+	}
+	host, port, err := net.SplitHostPort(v)
+	if err != nil {
+		return fmt.Errorf("field %s: %q is no address of the form IP:port", field, v)
+	}
+	if ip := net.ParseIP(host); ip == nil || ip.To4() == nil {
+		return fmt.Errorf("field %s: %q is no IPv4 address", field, host)
+	}
+	if p, err := strconv.Atoi(port); err != nil || p < 1 || p > 65535 {
+		return fmt.Errorf("field %s: %q is no port", field, port)
+	}
+	return nil
+}
+
+func positive(field string, v float64) error {
+	if !(v > 0) || math.IsInf(v, 0) {
+		return fmt.Errorf("field %s: must be a positive number, is %v", field, v)
+	}
+	return nil
+}
+
+func (s *Settings) check() error {
+	if s.Label == "" {
+		return fmt.Errorf("field label: missing")
+	}
+	for _, a := range [][2]string{{"bind", s.Bind}, {"cluster_listen", s.ClusterListen},
+		{"external.cloud", s.External.Cloud}, {"external.state", s.External.State}} {
+		if err := addr(a[0], a[1]); err != nil {
+			return err
+		}
+	}
+	seen := map[string]bool{s.Label: true}
+	for i, p := range s.Peers {
+		if p.Label == "" {
+			return fmt.Errorf("field peers[%d].label: missing", i)
+		}
+		if seen[p.Label] {
+			return fmt.Errorf("field peers[%d].label: %q is there twice", i, p.Label)
+		}
+		seen[p.Label] = true
+		if err := addr(fmt.Sprintf("peers[%d].endpoint", i), p.Endpoint); err != nil {
+			return err
+		}
+	}
+	f := &s.Facts
+	if f.Nodes == 0 {
+		f.Nodes = len(s.Peers) + 1
+	}
+	for _, v := range []struct {
+		n string
+		v float64
+	}{
+		{"facts.workers.report_s", f.Workers.ReportS}, {"facts.workers.lease_s", f.Workers.LeaseS},
+		{"facts.workers.gang_wait_s", f.Workers.GangWaitS}, {"facts.workers.gang_peer_s", f.Workers.GangPeerS},
+		{"facts.workers.cancel_s", f.Workers.CancelS},
+		{"facts.state.rps", f.State.RPS}, {"facts.state.write_rps", f.State.WriteRPS},
+		{"facts.state.value_kb", f.State.ValueKB}, {"facts.state.txn_ops", float64(f.State.TxnOps)},
+		{"facts.cloud.rps", f.Cloud.RPS}, {"facts.limits.mem_mb", f.Limits.MemMB},
+		{"facts.limits.sockets", float64(f.Limits.Sockets)},
+	} {
+		if err := positive(v.n, v.v); err != nil {
+			return err
+		}
+	}
+	if f.Workers.CancelS <= f.Workers.LeaseS {
+		return fmt.Errorf("field facts.workers.cancel_s: must be above lease_s (%v), is %v", f.Workers.LeaseS, f.Workers.CancelS)
+	}
+	names := map[string]bool{}
+	for i, t := range f.Teams {
+		if t.Name == "" {
+			return fmt.Errorf("field facts.teams[%d].name: missing", i)
+		}
+		if names[t.Name] {
+			return fmt.Errorf("field facts.teams[%d].name: %q is there twice", i, t.Name)
+		}
+		names[t.Name] = true
+		for _, v := range []float64{t.CPUs, t.CPUsMax, t.GPUs, t.GPUsMax} {
+			if !(v >= 0) || math.IsInf(v, 0) {
+				return fmt.Errorf("field facts.teams[%d]: amounts of %q must be 0 or more", i, t.Name)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/statestore/store.go
@@ -0,0 +1,528 @@
+// Package statestore talks to the state service: reads, conditional
+// transactions, leases, and a replica of all our keys fed by a watch. It stays
+// inside the rates that the settings give, and it tells apart what surely
+// happened, what surely did not, and what may yet happen.
+package statestore
+
+import (
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"brooklb/internal/actor"
+	"brooklb/internal/wire"
+)
+
+// Prefix is where all our keys lie.
+const Prefix = "b/"
+
+// Result of a transaction.
+type Result uint8
+
+// The results. After Maybe the transaction may have been applied, or may be
+// applied later as long as its conditions still hold.
+const (
+	OK Result = iota
+	Conflict
+	Refused // surely not executed
+	Maybe
+	NoLease
+	Malformed // refused as malformed: a fault of ours
+)
+
+// Item is a key of the replica.
+type Item struct {
+	Value []byte
+	Stamp uint64
+}
+
+// Config of a Store.
+type Config struct {
+	Addr          string
+	RPS, WriteRPS float64
+	Nodes         int
+	TxnOps        int
+	ValueBytes    int
+}
+
+// Store is the actor that owns the replica and the budgets.
+type Store struct {
+	env      actor.Env
+	cfg      Config
+	requests actor.Bucket
+	writes   actor.Bucket
+	leading  bool
+
+	items  map[string]Item
+	graves map[string]uint64 // keys known to be deleted at a revision the watch has not reached
+	epoch  uint64            // the replica is complete up to here
+	synced bool
+	gen    int
+	subs   []func(key string, it *Item)
+	resync []func()
+	waits  []wait
+
+	contact   time.Duration // last definite answer
+	refusedAt time.Duration
+	queue     []*read
+	reading   int
+	watchFail int
+}
+
+type wait struct {
+	epoch uint64
+	f     func()
+}
+
+type read struct {
+	key  string
+	item *Item
+	done func(it *Item, ok bool)
+}
+
+const (
+	readTimeout   = 1200 * time.Millisecond
+	commitTimeout = 1500 * time.Millisecond
+	watchBlock    = 2 * time.Second
+	watchGap      = 150 * time.Millisecond // between watches of a node that doesn't lead
+	leaderGap     = 40 * time.Millisecond
+	// Shares of the request and write budgets. What a node does for users
+	// leaves a reserve for its lease and its watch.
+	leaderShare   = 0.46
+	followerShare = 0.25
+	userReserve   = 0.15
+)
+
+// New makes a Store; Start begins to fill its replica.
+func New(env actor.Env, cfg Config) *Store {
+	s := &Store{env: env, cfg: cfg, items: map[string]Item{}, graves: map[string]uint64{}, contact: -time.Hour}
+	s.SetLeading(false)
+	return s
+}
+
+// Config returns the limits in force.
+func (s *Store) Config() Config { return s.cfg }
+
+// SetLeading chooses the share of the budgets: the leader writes most.
+func (s *Store) SetLeading(on bool) {
+	s.leading = on
+	share := followerShare
+	if s.cfg.Nodes <= 1 {
+		share = 0.95
+	} else if on {
+		share = leaderShare
+	} else if s.cfg.Nodes > 3 {
+		share = (0.95 - leaderShare) / float64(s.cfg.Nodes-1)
+	}
+	s.requests.SetRate(s.cfg.RPS*share, max(4, s.cfg.RPS*share))
+	s.writes.SetRate(s.cfg.WriteRPS*share, max(float64(s.cfg.TxnOps), s.cfg.WriteRPS*share))
+}
+
+// Subscribe registers a function that hears of every change of the replica;
+// it is nil when the key is gone.
+func (s *Store) Subscribe(f func(key string, it *Item)) { s.subs = append(s.subs, f) }
+
+// OnResync registers a function that is called when the replica was read anew
+// and single changes were missed.
+func (s *Store) OnResync(f func()) { s.resync = append(s.resync, f) }
+
+// Synced reports whether the replica has been read.
+func (s *Store) Synced() bool { return s.synced }
+
+// Epoch is the revision up to which the replica is complete.
+func (s *Store) Epoch() uint64 { return s.epoch }
+
+// Contact is the time of the last definite answer of the state service.
+func (s *Store) Contact() time.Duration { return s.contact }
+
+// Peek returns what the replica holds, which may lag.
+func (s *Store) Peek(key string) (Item, bool) {
+	it, ok := s.items[key]
+	return it, ok
+}
+
+// Each calls f for every key of the replica with the prefix, in key order.
+func (s *Store) Each(prefix string, f func(key string, it Item)) {
+	var keys []string
+	for k := range s.items {
+		if strings.HasPrefix(k, prefix) {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	for _, k := range keys {
+		f(k, s.items[k])
+	}
+}
+
+// WhenAt calls f once the replica is complete up to the revision.
+func (s *Store) WhenAt(epoch uint64, f func()) {
+	if s.synced && s.epoch >= epoch {
+		f()
+		return
+	}
+	s.waits = append(s.waits, wait{epoch, f})
+}
+
+func (s *Store) call(method, path string, body []byte, timeout time.Duration, done func(actor.Answer)) {
+	s.env.Call(actor.Call{Addr: s.cfg.Addr, Method: method, Path: path, Body: body, Timeout: timeout, Done: func(a actor.Answer) {
+		switch {
+		case a.Err != nil:
+		case a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests:
+			s.refusedAt = s.env.Now()
+		default:
+			s.contact = s.env.Now()
+		}
+		done(a)
+	}})
+}
+
+// Start reads all keys and keeps watching them.
+func (s *Store) Start() {
+	s.gen++
+	gen := s.gen
+	fresh := map[string]Item{}
+	var first uint64
+	var page func(after string)
+	again := func(after string) {
+		s.env.After(300*time.Millisecond, func() {
+			if s.gen == gen {
+				page(after)
+			}
+		})
+	}
+	page = func(after string) {
+		if !s.requests.Take(s.env.Now(), 1, 0) {
+			again(after)
+			return
+		}
+		path := wire.PathKeys + "?under=" + Prefix + "&most=1000"
+		if after != "" {
+			path += "&from=" + after
+		}
+		s.call("GET", path, nil, 3*time.Second, func(a actor.Answer) {
+			if s.gen != gen {
+				return
+			}
+			var p wire.Page
+			if a.Err != nil || a.Status != 200 || wire.Decode(a.Body, &p) != nil || (p.HasNext && len(p.Items) == 0) {
+				again(after)
+				return
+			}
+			if after == "" {
+				first = p.Epoch
+			}
+			for _, it := range p.Items {
+				fresh[it.Path] = Item{append([]byte(nil), it.Value...), it.Stamp}
+			}
+			if p.HasNext {
+				page(p.Items[len(p.Items)-1].Path)
+				return
+			}
+			again := s.synced
+			s.items, s.epoch, s.synced = fresh, first, true
+			s.graves = map[string]uint64{}
+			if again {
+				for _, f := range s.resync {
+					f()
+				}
+			} else {
+				for _, f := range s.subs {
+					s.Each("", func(k string, it Item) { f(k, &it) })
+				}
+			}
+			s.wake()
+			s.watch(gen)
+		})
+	}
+	page("")
+}
+
+func (s *Store) wake() {
+	var keep []wait
+	ws := s.waits
+	s.waits = nil
+	for _, w := range ws {
+		if s.epoch >= w.epoch {
+			w.f()
+		} else {
+			keep = append(keep, w)
+		}
+	}
+	s.waits = append(s.waits, keep...)
+}
+
+func (s *Store) watch(gen int) {
+	if s.gen != gen {
+		return
+	}
+	retry := func(d time.Duration) { s.env.After(d, func() { s.watch(gen) }) }
+	if !s.requests.Take(s.env.Now(), 1, 0) {
+		retry(50 * time.Millisecond)
+		return
+	}
+	path := wire.PathChanges + "?under=" + Prefix + "&from=" + strconv.FormatUint(s.epoch, 10) +
+		"&block_ms=" + strconv.Itoa(int(watchBlock.Milliseconds()))
+	opened := s.env.Now()
+	// A watch that stays open past its time hangs in a cut or an outage: a new
+	// one is opened, since only an answer proves that nothing was missed.
+	s.call("GET", path, nil, watchBlock+1500*time.Millisecond, func(a actor.Answer) {
+		if s.gen != gen {
+			return
+		}
+		if a.Err != nil || a.Status == 503 || a.Status == 429 {
+			retry(250 * time.Millisecond)
+			return
+		}
+		if a.Status == http.StatusGone {
+			s.env.Log().Info("watch too old, reading all keys again", "epoch", s.epoch)
+			s.Start()
+			return
+		}
+		var n wire.News
+		if a.Status != 200 || wire.Decode(a.Body, &n) != nil {
+			s.env.Log().Error("bad answer to a watch", "status", a.Status)
+			retry(time.Second)
+			return
+		}
+		sort.SliceStable(n.News, func(i, j int) bool { return n.News[i].Stamp < n.News[j].Stamp })
+		for i := range n.News {
+			e := &n.News[i]
+			if e.Delete != "" {
+				s.drop(e.Delete, e.Stamp)
+			} else if e.Write != "" {
+				s.put(e.Write, e.Value, e.Stamp)
+			}
+		}
+		if n.Epoch > s.epoch {
+			s.epoch = n.Epoch
+			for k, e := range s.graves {
+				if e <= s.epoch {
+					delete(s.graves, k)
+				}
+			}
+			s.wake()
+		}
+		gap := watchGap
+		if s.leading {
+			gap = leaderGap
+		}
+		if s.env.Now()-opened >= gap {
+			s.watch(gen)
+		} else {
+			retry(gap - (s.env.Now() - opened))
+		}
+	})
+}
+
+func (s *Store) put(key string, value []byte, stamp uint64) {
+	if old, ok := s.items[key]; ok && old.Stamp >= stamp {
+		return
+	}
+	if s.graves[key] >= stamp && stamp > 0 {
+		return
+	}
+	it := Item{append([]byte(nil), value...), stamp}
+	s.items[key] = it
+	for _, f := range s.subs {
+		f(key, &it)
+	}
+}
+
+func (s *Store) drop(key string, stamp uint64) {
+	if stamp > s.epoch {
+		s.graves[key] = max(s.graves[key], stamp)
+	}
+	old, ok := s.items[key]
+	if !ok || old.Stamp > stamp {
+		return
+	}
+	delete(s.items, key)
+	for _, f := range s.subs {
+		f(key, nil)
+	}
+}
+
+// Read brings the current value of a key: the replica's, once the state
+// service has confirmed that it is still current, or else what it answers.
+// done gets ok false when the service can't be asked. Reads that wait are
+// confirmed together in one comparing transaction.
+func (s *Store) Read(key string, done func(it *Item, ok bool)) {
+	if !s.synced || len(s.queue) > 2000 {
+		s.env.After(0, func() { done(nil, false) })
+		return
+	}
+	s.queue = append(s.queue, &read{key: key, done: done})
+	s.pump()
+}
+
+func (s *Store) pump() {
+	if len(s.queue) == 0 || s.reading >= 2 {
+		return
+	}
+	if !s.requests.Take(s.env.Now(), 1, s.cfg.RPS*userReserve*followerShare) {
+		q := s.queue
+		s.queue = nil
+		for _, r := range q {
+			r.done(nil, false)
+		}
+		return
+	}
+	most := 4 * s.cfg.TxnOps
+	n := min(len(s.queue), most)
+	batch := append([]*read(nil), s.queue[:n]...)
+	s.queue = append(s.queue[:0], s.queue[n:]...)
+	var t wire.Txn
+	asked := map[string]bool{}
+	for _, r := range batch {
+		if it, ok := s.items[r.key]; ok {
+			c := it
+			r.item = &c
+		}
+		if asked[r.key] {
+			continue
+		}
+		asked[r.key] = true
+		c := wire.Cond{Path: r.key}
+		if r.item != nil {
+			c.Stamp = r.item.Stamp
+		}
+		t.When = append(t.When, c)
+	}
+	s.reading++
+	s.call("POST", wire.PathCommit, wire.Encode(t), readTimeout, func(a actor.Answer) {
+		s.reading--
+		defer s.pump()
+		var o wire.Outcome
+		if a.Err != nil || (a.Status != 200 && a.Status != 409) || wire.Decode(a.Body, &o) != nil {
+			for _, r := range batch {
+				r.done(nil, false)
+			}
+			return
+		}
+		failed := map[string]bool{}
+		for _, k := range o.Failed {
+			failed[k] = true
+		}
+		for _, r := range batch {
+			if a.Status == 409 && failed[r.key] {
+				s.get(r)
+			} else {
+				r.done(r.item, true)
+			}
+		}
+	})
+}
+
+func (s *Store) get(r *read) {
+	s.Get(r.key, func(it *Item, ok bool) { r.done(it, ok) })
+}
+
+// Get reads one key from the state service itself.
+func (s *Store) Get(key string, done func(it *Item, ok bool)) {
+	if !s.requests.Take(s.env.Now(), 1, 0) {
+		s.env.After(0, func() { done(nil, false) })
+		return
+	}
+	s.call("GET", wire.PathKeys+"/"+key, nil, readTimeout, func(a actor.Answer) {
+		switch {
+		case a.Err == nil && a.Status == 404:
+			done(nil, true)
+		case a.Err == nil && a.Status == 200:
+			var it wire.Item
+			if err := wire.Decode(a.Body, &it); err != nil {
+				s.env.Log().Error("bad answer of the state service", "key", key, "err", err)
+				done(nil, false)
+				return
+			}
+			s.put(key, it.Value, it.Stamp)
+			done(&Item{it.Value, it.Stamp}, true)
+		default:
+			done(nil, false)
+		}
+	})
+}
+
+// Commit sends a transaction. own says that it is the leader's work, which may
+// use the reserve. Changes that were made appear in the replica before done.
+func (s *Store) Commit(t wire.Txn, own bool, done func(r Result, epoch uint64, failed []string)) {
+	keep, keepW := 0.0, 0.0
+	if !own {
+		keep = s.cfg.RPS * userReserve * followerShare
+	}
+	refuse := func() { s.env.After(0, func() { done(Refused, 0, nil) }) }
+	if !s.requests.Take(s.env.Now(), 1, keep) {
+		refuse()
+		return
+	}
+	if len(t.Apply) > 0 && !s.writes.Take(s.env.Now(), float64(len(t.Apply)), keepW) {
+		refuse()
+		return
+	}
+	s.call("POST", wire.PathCommit, wire.Encode(t), commitTimeout, func(a actor.Answer) {
+		var o wire.Outcome
+		switch {
+		case a.Unsent():
+			done(Refused, 0, nil)
+		case a.Err != nil:
+			done(Maybe, 0, nil)
+		case a.Status == 503 || a.Status == 429:
+			done(Refused, 0, nil)
+		case a.Status == 200 && wire.Decode(a.Body, &o) == nil && o.Epoch > 0:
+			for _, c := range t.Apply {
+				if c.Delete != "" {
+					s.drop(c.Delete, o.Epoch)
+				} else {
+					s.put(c.Write, c.Value, o.Epoch)
+				}
+			}
+			done(OK, o.Epoch, nil)
+		case a.Status == 409 && wire.Decode(a.Body, &o) == nil:
+			done(Conflict, o.Epoch, o.Failed)
+		case a.Status == 400 && strings.Contains(string(a.Body), "lease"):
+			done(NoLease, 0, nil)
+		case a.Status == 400:
+			s.env.Log().Error("the state service calls a transaction malformed", "body", string(a.Body))
+			done(Malformed, 0, nil)
+		default:
+			s.env.Log().Error("bad answer to a transaction", "status", a.Status)
+			done(Maybe, 0, nil)
+		}
+	})
+}
+
+// Grant asks for a lease.
+func (s *Store) Grant(ttl time.Duration, done func(permit uint64, ok bool)) {
+	if !s.requests.Take(s.env.Now(), 1, 0) {
+		s.env.After(0, func() { done(0, false) })
+		return
+	}
+	s.call("POST", wire.PathGrants, wire.TTL(int(ttl.Milliseconds())), readTimeout, func(a actor.Answer) {
+		if a.Err != nil || a.Status != 200 {
+			done(0, false)
+			return
+		}
+		p, err := wire.DecodeGrant(a.Body)
+		done(p, err == nil)
+	})
+}
+
+// Renew renews a lease; gone says that it has ended.
+func (s *Store) Renew(permit uint64, done func(ok, gone bool)) {
+	if !s.requests.Take(s.env.Now(), 1, 0) {
+		s.env.After(0, func() { done(false, false) })
+		return
+	}
+	s.call("POST", wire.PathGrants+"/"+strconv.FormatUint(permit, 10)+"/renew", nil, readTimeout, func(a actor.Answer) {
+		done(a.Err == nil && a.Status == 200, a.Err == nil && a.Status == 404)
+	})
+}
+
+// Release ends a lease.
+func (s *Store) Release(permit uint64) {
+	if s.requests.Take(s.env.Now(), 1, 0) {
+		s.call("DELETE", wire.PathGrants+"/"+strconv.FormatUint(permit, 10), nil, readTimeout, func(actor.Answer) {})
+	}
+}
--- /dev/null
+++ b/internal/workers/workers.go
@@ -0,0 +1,481 @@
+// Package workers turns workers' reports into facts of the ledger, and the
+// ledger's wishes into orders. It decides when a task is proven absent and
+// when an exited task may be removed from a worker's memory.
+package workers
+
+import (
+	"sort"
+	"strconv"
+	"time"
+
+	"brooklb/internal/actor"
+	"brooklb/internal/ledger"
+	"brooklb/internal/model"
+	"brooklb/internal/wire"
+)
+
+// Config of the slice, from the settings.
+type Config struct {
+	Lease, Hold time.Duration
+	Report      time.Duration
+}
+
+// Actor handles the workers during one term.
+type Actor struct {
+	env     actor.Env
+	led     *ledger.Ledger
+	token   uint64
+	cfg     Config
+	began   time.Duration
+	pushing map[*ledger.Machine]bool
+	stopped bool
+	// Hooks of the term.
+	OnNewer func()                    // a worker has seen a higher token
+	OnTrust func(m *ledger.Machine)   // a machine reports for the first time
+	errJobs map[string]map[string]int // job -> machine -> errors
+}
+
+const (
+	directTimeout = 2500 * time.Millisecond
+	// Steady clocks drift apart by at most 0.05%.
+	drift = 1.001
+)
+
+// New makes the actor of a term that began at the given time.
+func New(env actor.Env, led *ledger.Ledger, token uint64, cfg Config) *Actor {
+	a := &Actor{env: env, led: led, token: token, cfg: cfg, began: env.Now(), pushing: map[*ledger.Machine]bool{},
+		errJobs: map[string]map[string]int{}}
+	led.OnDurable = func(ps []*ledger.Placement) {
+		for _, p := range ps {
+			a.Push(p.M)
+		}
+	}
+	led.OnStop = func(p *ledger.Placement) { a.Push(p.M) }
+	return a
+}
+
+// Close ends the term: no order is given any more.
+func (a *Actor) Close() { a.stopped = true }
+
+func key(t model.TaskReport) string {
+	return t.Job + "/" + strconv.Itoa(t.Task) + "#" + strconv.FormatUint(t.Attempt, 10)
+}
+
+func orderKey(o model.Order) string {
+	return o.Job + "/" + strconv.Itoa(o.Task) + "#" + strconv.FormatUint(o.Attempt, 10)
+}
+
+// Report takes in a report and returns the orders for the answer.
+func (a *Actor) Report(r *model.Report) []model.Order {
+	if a.led.Returned[r.Machine] {
+		return nil // sent before its machine was returned
+	}
+	m := a.led.Machine(r.Machine)
+	now := a.env.Now()
+	newer := a.absorb(r)
+	m.LastAnswered = now
+	if !newer {
+		// Held up on its way: what it says is older than what we know.
+		return nil
+	}
+	return a.orders(m, true)
+}
+
+// absorb takes in a report, however it came. It returns false for one that is
+// not newer than what is known.
+func (a *Actor) absorb(r *model.Report) bool {
+	if a.led.Returned[r.Machine] {
+		return false
+	}
+	now := a.env.Now()
+	m := a.led.Machine(r.Machine)
+	if r.Session < m.Session || (r.Session == m.Session && r.Seq <= m.Seq) {
+		return false
+	}
+	first := !m.Heard
+	m.Heard, m.LastHeard = true, now
+	m.Addr = r.Addr
+	a.led.Describe(m, r.Type, r.Zone, r.Spot)
+	if r.Session > m.Session {
+		// Commands carry the session: what was sent to an earlier one is void.
+		m.Ambiguous = map[string]uint64{}
+	}
+	m.Session, m.Seq, m.Token = r.Session, r.Seq, r.Token
+	m.Missing = 0
+	if r.Token >= a.token {
+		m.TokenSeen = true
+	}
+	if r.Token > a.token && a.OnNewer != nil {
+		a.OnNewer()
+	}
+	notice := r.Notice && !m.Notice
+	m.Notice = r.Notice
+	m.Ended, m.Strays = m.Ended[:0], m.Strays[:0]
+	listed := make(map[*ledger.Placement]bool, len(r.Tasks))
+	for _, t := range r.Tasks {
+		j := a.led.Jobs[t.Job]
+		var p *ledger.Placement
+		if j != nil && t.Task < len(j.Tasks) {
+			if q := j.Tasks[t.Task].P; q != nil && q.M == m && q.Attempt == t.Attempt {
+				p = q
+			}
+		}
+		if p == nil {
+			a.unmatched(m, j, t)
+			continue
+		}
+		listed[p] = true
+		p.Seen, p.Session = true, r.Session
+		if p.Phase != t.Phase {
+			a.env.Log().Debug("task", "job", t.Job, "task", t.Task, "attempt", t.Attempt, "machine", m.Name, "phase", t.Phase.String(), "cause", t.Cause)
+			p.Phase = t.Phase
+			if t.Phase == model.Running {
+				p.RunSince = now
+			}
+		}
+		if t.Phase == model.Running || t.Phase == model.Waiting || t.Phase == model.Saving || t.Cause == model.CauseDone {
+			m.Images[j.Spec.Image] = now
+			m.ImageGB[j.Spec.Image] = j.Spec.ImageGB
+		}
+		if t.Phase == model.Exited {
+			m.Ended = append(m.Ended, t)
+			a.exited(p, t)
+		}
+	}
+	for _, p := range m.List() {
+		if !listed[p] && p.Durable && !p.Gone {
+			a.unlisted(m, p)
+		}
+	}
+	a.trim(m)
+	if notice {
+		a.env.Log().Info("machine is to be taken away", "machine", m.Name, "in_s", r.NoticeS)
+		a.drain(m, r.NoticeS)
+	}
+	if first && a.OnTrust != nil {
+		a.OnTrust(m)
+	}
+	return true
+}
+
+// trim keeps what is remembered of a machine's image cache within its size.
+func (a *Actor) trim(m *ledger.Machine) {
+	t := a.led.Types[m.Type]
+	if t == nil {
+		return
+	}
+	for {
+		sum, oldest := 0.0, ""
+		for i, gb := range m.ImageGB {
+			sum += gb
+			if oldest == "" || m.Images[i] < m.Images[oldest] || (m.Images[i] == m.Images[oldest] && i < oldest) {
+				oldest = i
+			}
+		}
+		if sum <= t.CacheGB || len(m.ImageGB) <= 1 {
+			return
+		}
+		delete(m.Images, oldest)
+		delete(m.ImageGB, oldest)
+	}
+}
+
+// unmatched is a reported task that the ledger doesn't have there.
+func (a *Actor) unmatched(m *ledger.Machine, j *ledger.Job, t model.TaskReport) {
+	if t.Phase == model.Exited {
+		if t.Cause == model.CauseDone && j != nil && j.Final == ledger.Open && t.Task < len(j.Tasks) &&
+			!j.Tasks[t.Task].Done && j.Tasks[t.Task].P == nil {
+			a.led.Finished(j, t.Task)
+		}
+		m.Ended = append(m.Ended, t)
+		return
+	}
+	a.env.Log().Info("task nobody placed there, stopping it", "job", t.Job, "task", t.Task, "attempt", t.Attempt, "machine", m.Name)
+	m.Strays = append(m.Strays, t)
+	if j != nil && t.Task < len(j.Tasks) {
+		// It must not be started elsewhere while it is seen here.
+		j.Tasks[t.Task].NotBefore = max(j.Tasks[t.Task].NotBefore, a.env.Now()+2*a.cfg.Report)
+	}
+}
+
+// unlisted is a placement that the newest report doesn't list.
+func (a *Actor) unlisted(m *ledger.Machine, p *ledger.Placement) {
+	switch {
+	case p.Session != 0 && p.Session < m.Session:
+		// A later session has none of the earlier one's tasks.
+		a.led.Lost(p, model.CauseSession)
+	case p.Session != 0 && p.Seen:
+		a.led.Lost(p, "vanished from the worker's report")
+	case p.Session != 0:
+		// We sent a start that the worker hasn't executed yet.
+		if p.Stopping && !a.mayArrive(m, p) {
+			a.led.Lost(p, model.CauseStopped)
+		}
+	case m.Token >= a.token && (p.Stopping || p.Job.Spec.Kind == model.Gang):
+		// An earlier leader placed it. Its starts carry a lower token than the
+		// worker has seen, so none can be executed any more.
+		a.led.Lost(p, model.CauseLost)
+	}
+}
+
+// mayArrive reports whether a start sent directly may still be executed.
+func (a *Actor) mayArrive(m *ledger.Machine, p *ledger.Placement) bool {
+	_, ok := m.Ambiguous[key(model.TaskReport{Job: p.Job.Spec.ID, Task: p.Task, Attempt: p.Attempt})]
+	return ok
+}
+
+func (a *Actor) exited(p *ledger.Placement, t model.TaskReport) {
+	now := a.env.Now()
+	j, m := p.Job, p.M
+	task := &j.Tasks[p.Task]
+	switch t.Cause {
+	case model.CauseDone:
+		task.Errors = 0
+		m.Errs = 0
+		a.led.Finished(j, p.Task)
+		return
+	case model.CauseError:
+		task.Errors++
+		task.Avoid = m
+		task.NotBefore = now + backoff(task.Errors)
+		a.blame(m, j)
+	case model.CauseNoRoom:
+		m.NoPlace = now + 5*time.Second
+		task.NotBefore = now + time.Second
+	case model.CauseBusy:
+		task.NotBefore = now + 2*time.Second
+	case model.CauseUnknown:
+		task.Errors++
+		task.NotBefore = now + backoff(task.Errors+1)
+	}
+	cause := t.Cause
+	if t.Saved {
+		cause += ", progress saved"
+	}
+	a.led.Lost(p, cause)
+}
+
+func backoff(n int) time.Duration {
+	return min(time.Minute, time.Second<<min(n, 6))
+}
+
+// blame finds out who is at fault for an error: a machine on which tasks of
+// several jobs fail, or a job that fails on several machines.
+func (a *Actor) blame(m *ledger.Machine, j *ledger.Job) {
+	e := a.errJobs[j.Spec.ID]
+	if e == nil {
+		e = map[string]int{}
+		a.errJobs[j.Spec.ID] = e
+	}
+	e[m.Name]++
+	if len(e) >= 2 {
+		return // the job fails everywhere: no machine is worse for it
+	}
+	m.Errs++
+	if m.Errs >= 2 {
+		a.env.Log().Info("machine set aside after errors", "machine", m.Name, "errors", m.Errs)
+		m.NoPlace = a.env.Now() + time.Hour
+		m.Leaving = true
+	} else {
+		m.NoPlace = max(m.NoPlace, a.env.Now()+10*time.Second)
+	}
+}
+
+// drain saves what can be saved before a machine is taken.
+func (a *Actor) drain(m *ledger.Machine, noticeS float64) {
+	for _, p := range m.List() {
+		if p.Gone || p.Stopping {
+			continue
+		}
+		a.Evict(p, "machine is being taken away")
+	}
+	m.NoPlace = a.env.Now() + time.Hour
+}
+
+// Evict stops a task, or the whole gang it belongs to, so that its progress is
+// saved where that is possible.
+func (a *Actor) Evict(p *ledger.Placement, why string) {
+	grace := func(q *ledger.Placement) float64 {
+		if q.Job.Spec.CheckpointS > 0 && q.Phase == model.Running {
+			return q.Job.Spec.SaveS + 1
+		}
+		return 0
+	}
+	if p.Job.Spec.Kind != model.Gang {
+		if p.Job.Spec.CheckpointS <= 0 && p.Phase == model.Running {
+			return // can't save: it may yet complete
+		}
+		a.led.Stop(p, grace(p), why)
+		return
+	}
+	for i := range p.Job.Tasks {
+		if q := p.Job.Tasks[i].P; q != nil && !q.Stopping {
+			a.led.Stop(q, grace(q), why)
+		}
+	}
+	p.Job.Broken = p.Job.Placed > 0
+}
+
+// orders lists what the worker has to be told. In the answer to a report (all
+// true) everything unfinished is repeated; a direct command has what is new.
+func (a *Actor) orders(m *ledger.Machine, all bool) []model.Order {
+	var out []model.Order
+	now := a.env.Now()
+	if all {
+		for _, t := range m.Strays {
+			out = append(out, model.Order{Op: model.Stop, Job: t.Job, Task: t.Task, Attempt: t.Attempt})
+		}
+		for _, t := range m.Ended {
+			if a.mayForget(m, t) {
+				out = append(out, model.Order{Op: model.Forget, Job: t.Job, Task: t.Task, Attempt: t.Attempt})
+			}
+		}
+	}
+	for _, p := range m.List() {
+		id := p.Job.Spec.ID
+		switch {
+		case !p.Durable:
+		case p.Stopping:
+			if p.Phase == model.Saving && p.GraceS > 0 {
+				continue
+			}
+			if (all || p.StopSent == 0) && (p.Seen || p.Session != 0) {
+				p.StopSent = now
+				out = append(out, model.Order{Op: model.Stop, Job: id, Task: p.Task, Attempt: p.Attempt, GraceS: p.GraceS})
+			}
+		case !p.Seen && (all || p.SentAt == 0):
+			if p.Session != 0 && p.Session != m.Session {
+				continue
+			}
+			if p.Inherited && p.Session == 0 && (p.Job.Spec.Kind == model.Gang || m.Token < a.token) {
+				continue // decided when the worker has seen our token
+			}
+			p.Session, p.SentAt = m.Session, now
+			out = append(out, model.Order{Op: model.Start, Job: id, Task: p.Task, Attempt: p.Attempt})
+		}
+	}
+	sort.SliceStable(out, func(i, j int) bool { return rank(out[i].Op) < rank(out[j].Op) })
+	return out
+}
+
+func rank(o model.Op) int { return [...]int{2, 1, 0}[o] }
+
+// mayForget says whether the worker may forget an exited attempt. Its end must
+// be durable, and no copy of its start may be under way: after forgetting it,
+// the worker would execute the copy.
+func (a *Actor) mayForget(m *ledger.Machine, t model.TaskReport) bool {
+	if m.Token < a.token {
+		return false
+	}
+	if _, ok := m.Ambiguous[key(t)]; ok {
+		return false
+	}
+	j := a.led.Jobs[t.Job]
+	if j == nil || t.Task >= len(j.Tasks) {
+		return true
+	}
+	if p := j.Tasks[t.Task].P; p != nil && p.M == m && p.Attempt == t.Attempt {
+		return false
+	}
+	return j.Clean(t.Task)
+}
+
+// Push sends what is new straight to the worker.
+func (a *Actor) Push(m *ledger.Machine) {
+	if a.pushing[m] || a.stopped {
+		return
+	}
+	a.pushing[m] = true
+	a.env.After(time.Millisecond, func() {
+		delete(a.pushing, m)
+		if !a.stopped && !m.Gone {
+			a.push(m)
+		}
+	})
+}
+
+func (a *Actor) push(m *ledger.Machine) {
+	now := a.env.Now()
+	if m.Addr == "" || !m.Heard || now-m.LastHeard > 3*a.cfg.Report {
+		return // the answer to its next report will tell it
+	}
+	out := a.orders(m, false)
+	if len(out) == 0 {
+		return
+	}
+	session := m.Session
+	for _, o := range out {
+		if o.Op == model.Start {
+			m.Ambiguous[orderKey(o)] = session
+		}
+	}
+	m.Direct++
+	a.env.Call(actor.Call{Addr: m.Addr, Method: "POST", Path: wire.PathOrders, Timeout: directTimeout,
+		Body: wire.Orders(a.token, session, out), Done: func(ans actor.Answer) {
+			m.Direct--
+			if a.stopped {
+				return
+			}
+			if ans.Err != nil && !ans.Unsent() {
+				// It may be executed minutes later. The repeated start in the
+				// answer to a report makes the copy harmless, as long as the
+				// worker isn't told to forget the attempt.
+				a.env.Log().Debug("no answer to a direct command", "machine", m.Name, "err", ans.Err)
+				return
+			}
+			if m.Session == session {
+				for _, o := range out {
+					if o.Op == model.Start {
+						delete(m.Ambiguous, orderKey(o))
+					}
+				}
+			}
+			if ans.Err != nil || (ans.Status != 200 && ans.Status != 409) {
+				return
+			}
+			r, err := wire.DecodeReport(ans.Body)
+			if err != nil || r.Machine != m.Name {
+				a.env.Log().Error("bad answer of a worker", "machine", m.Name, "err", err)
+				return
+			}
+			a.absorb(r)
+		}})
+}
+
+// DeadAt is when everything on a machine is surely gone if it stays silent.
+func (a *Actor) DeadAt(m *ledger.Machine) time.Duration {
+	last := a.began + a.cfg.Hold
+	if m.TokenSeen {
+		last = m.LastAnswered
+	} else {
+		last = max(last, m.LastAnswered)
+	}
+	return last + time.Duration(float64(a.cfg.Lease)*drift) + 1500*time.Millisecond
+}
+
+// Tick looks for machines that have been silent for so long that their
+// workers' leases have surely run out.
+func (a *Actor) Tick() {
+	now := a.env.Now()
+	for _, name := range a.names() {
+		m := a.led.Machines[name]
+		if len(m.P) == 0 || now < a.DeadAt(m) {
+			continue
+		}
+		a.env.Log().Info("machine silent, its lease has run out", "machine", m.Name, "tasks", len(m.P))
+		for _, p := range m.List() {
+			if p.Durable {
+				a.led.Lost(p, model.CauseLost)
+			}
+		}
+	}
+}
+
+func (a *Actor) names() []string {
+	out := make([]string, 0, len(a.led.Machines))
+	for n := range a.led.Machines {
+		out = append(out, n)
+	}
+	sort.Strings(out)
+	return out
+}
