--- /dev/null
+++ b/internal/sim/cloud.go
@@ -0,0 +1,207 @@
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Cloud is the stand-in of the cloud.
+type Cloud struct {
+	w           *World
+	machines    map[string]*Machine
+	byAddr      map[string]*Machine
+	charters    map[string][]byte
+	next        int
+	outageUntil time.Duration
+	snaps       []snapshot // what lists show, later
+	bucket      float64
+	last        time.Duration
+	// Limited counts requests over the rate.
+	Limited int
+	// Cost in machine seconds.
+	Cost float64
+}
+
+type snapshot struct {
+	at   time.Duration
+	list []map[string]any
+}
+
+func newCloud(w *World) *Cloud {
+	c := &Cloud{w: w, machines: map[string]*Machine{}, byAddr: map[string]*Machine{}, charters: map[string][]byte{}, bucket: 8}
+	c.snap()
+	return c
+}
+
+func (c *Cloud) hostName() string { return "cloud" }
+func (c *Cloud) reachable() bool  { return true }
+
+// Outage makes the cloud refuse everybody.
+func (c *Cloud) Outage(d time.Duration) { c.outageUntil = c.w.now + d }
+
+func (c *Cloud) snap() {
+	c.w.after(time.Second, c.snap)
+	var names []string
+	for n, m := range c.machines {
+		if !m.deleted && (!m.gone || c.w.now-m.goneAt < 30*time.Second || m.failed) {
+			names = append(names, n)
+		}
+	}
+	sort.Strings(names)
+	s := snapshot{at: c.w.now}
+	for _, n := range names {
+		m := c.machines[n]
+		ph := "running"
+		if m.failed {
+			ph = "failed"
+		} else if !m.up {
+			ph = "starting"
+		}
+		s.list = append(s.list, map[string]any{"ref": n, "address": m.Addr, "hull": "big", "yard": m.Zone, "loaners": m.Spot, "phase": ph,
+			"held_s": (c.w.now - m.born).Seconds()})
+		if m.up && !m.gone {
+			c.Cost++
+		}
+	}
+	c.snaps = append(c.snaps, s)
+	if len(c.snaps) > 20 {
+		c.snaps = c.snaps[1:]
+	}
+}
+
+func (c *Cloud) create(zone string, spot bool, bootS float64) *Machine {
+	c.next++
+	m := &Machine{w: c.w, Name: fmt.Sprintf("vm-%06d", c.next), Addr: fmt.Sprintf("10.1.%d.%d:9000", c.next/250, c.next%250+1),
+		Zone: zone, Spot: spot, born: c.w.now, tenure: 1, tasks: map[string]*runner{}, images: map[string]bool{}, node: c.w.rng.IntN(c.w.cfg.Nodes)}
+	c.machines[m.Name] = m
+	c.byAddr[m.Addr] = m
+	if c.w.rng.IntN(40) == 0 && bootS > 1 {
+		return m // never comes up
+	}
+	c.w.after(c.w.secs(bootS*0.6, bootS*1.5), func() {
+		if !m.gone {
+			m.up = true
+			m.leaseFrom = c.w.now
+			m.report()
+			m.leaseCheck()
+		}
+	})
+	return m
+}
+
+func (c *Cloud) free(zone string, spot bool) int {
+	n := c.w.cfg.Capacity
+	for _, m := range c.machines {
+		if !m.gone && m.Zone == zone && m.Spot == spot {
+			n--
+		}
+	}
+	return n
+}
+
+// Take removes a machine without asking, after the notice (0: none).
+func (c *Cloud) Take(m *Machine, notice time.Duration) {
+	if notice > 0 {
+		m.recallAt = c.w.now + notice
+		m.changed()
+	}
+	c.w.after(notice, func() { m.vanish() })
+}
+
+func (c *Cloud) serve(_, method, path string, body []byte, reply func(int, []byte)) {
+	w := c.w
+	c.bucket = min(8, c.bucket+(w.now-c.last).Seconds()*4)
+	c.last = w.now
+	if c.bucket < 1 {
+		c.Limited++
+		reply(429, []byte(`{}`))
+		return
+	}
+	c.bucket--
+	if w.now < c.outageUntil {
+		reply(503, []byte(`{"error":"trouble"}`))
+		return
+	}
+	p, query, _ := strings.Cut(path, "?")
+	switch {
+	case p == "/machine_types":
+		reply(200, mustJSON(map[string]any{"hulls": []map[string]any{{"sku": "big", "cpus": w.cfg.CPUs, "gpus": w.cfg.GPUs, "memory_gb": 512.0,
+			"local_gb": 40.0, "fetch_gb_per_s": 0.5, "hourly": 10.0, "low_price": 3.0, "ready_s": w.cfg.BootS, "yards": w.cfg.Zones}}}))
+	case p == "/hosts" && method == "POST":
+		var r struct {
+			Charter, Hull, Yard string
+			Loaners             bool
+			Count               int
+		}
+		if json.Unmarshal(body, &r) != nil || r.Charter == "" || r.Hull != "big" || r.Count < 1 || r.Count > 50 {
+			w.broke("limits", "rental %s", body)
+			reply(400, []byte(`{}`))
+			return
+		}
+		if a, ok := c.charters[r.Charter]; ok {
+			reply(200, a)
+			return
+		}
+		n := min(r.Count, c.free(r.Yard, r.Loaners))
+		if n <= 0 {
+			reply(503, []byte(`{"error":"no capacity"}`))
+			return
+		}
+		names := []string{}
+		for i := 0; i < n; i++ {
+			names = append(names, c.create(r.Yard, r.Loaners, w.cfg.BootS).Name)
+		}
+		a := mustJSON(map[string]any{"hosts": names})
+		c.charters[r.Charter] = a
+		reply(200, a)
+	case p == "/hosts/return":
+		var r struct{ Hosts []string }
+		if json.Unmarshal(body, &r) != nil || len(r.Hosts) > 100 {
+			reply(400, []byte(`{}`))
+			return
+		}
+		for _, n := range r.Hosts {
+			if m := c.machines[n]; m != nil {
+				m.vanish()
+				m.deleted = true
+			}
+		}
+		reply(200, []byte(`{}`))
+	case p == "/hosts":
+		from, most := "", 500
+		for _, kv := range strings.Split(query, "&") {
+			k, v, _ := strings.Cut(kv, "=")
+			if k == "from" {
+				from = v
+			} else if k == "most" {
+				most, _ = strconv.Atoi(v)
+			}
+		}
+		lag := w.secs(2, 8) // the list may be older than the one before it
+		s := c.snaps[0]
+		for _, x := range c.snaps {
+			if x.at <= w.now-lag {
+				s = x
+			}
+		}
+		out := []map[string]any{}
+		more := false
+		for _, x := range s.list {
+			if x["ref"].(string) <= from {
+				continue
+			}
+			if len(out) == most {
+				more = true
+				break
+			}
+			out = append(out, x)
+		}
+		reply(200, mustJSON(map[string]any{"hosts": out, "has_next": more}))
+	default:
+		reply(400, []byte(`{}`))
+	}
+}
--- /dev/null
+++ b/internal/sim/machine.go
@@ -0,0 +1,474 @@
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"brooklb/internal/actor"
+)
+
+// Machine is the stand-in of a machine with its worker.
+type Machine struct {
+	w         *World
+	Name      string
+	Addr      string
+	Zone      string
+	Spot      bool
+	born      time.Duration
+	up        bool
+	gone      bool
+	failed    bool
+	deleted   bool
+	goneAt    time.Duration
+	hangUntil time.Duration
+	recallAt  time.Duration
+
+	tenure, tick, baton uint64
+	leaseFrom           time.Duration // when the last answered report was sent
+	node                int
+	reporting           bool
+	again               bool
+	lastReport          time.Duration
+	tasks               map[string]*runner
+	images              map[string]bool
+	bad                 bool // every task fails here
+}
+
+// runner is one attempt of a task on a machine.
+type runner struct {
+	m       *Machine
+	key     string
+	job     *userJob
+	task    int
+	attempt uint64
+	phase   string
+	cause   string
+	kept    bool
+	ends    int // generation of the pending end
+	from    time.Duration
+}
+
+func (m *Machine) hostName() string { return m.Name }
+func (m *Machine) reachable() bool  { return m.up && !m.gone }
+
+// Hang stops the machine for a while.
+func (m *Machine) Hang(d time.Duration) { m.hangUntil = max(m.hangUntil, m.w.now+d) }
+
+func (m *Machine) hanging() bool { return m.w.now < m.hangUntil }
+
+// vanish ends the machine and all that is on it.
+func (m *Machine) vanish() {
+	if m.gone {
+		return
+	}
+	m.gone, m.goneAt = true, m.w.now
+	m.kill()
+}
+
+// Die ends the machine on its own.
+func (m *Machine) Die() {
+	m.vanish()
+	m.failed = true
+}
+
+func (m *Machine) sorted() []*runner {
+	var out []*runner
+	for _, r := range m.tasks {
+		out = append(out, r)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].key < out[j].key })
+	return out
+}
+
+func (m *Machine) kill() {
+	for _, r := range m.sorted() {
+		delete(m.tasks, r.key)
+		r.ends++
+		was := r.phase
+		r.phase = "gone"
+		m.w.left(r, was)
+	}
+}
+
+// leaseCheck ends the session when the lease has run out. It also runs on a
+// hanging machine: the worker looks at its clock before it does anything else.
+func (m *Machine) leaseCheck() {
+	if m.gone {
+		return
+	}
+	end := m.leaseFrom + 30*time.Second
+	if m.w.now >= end {
+		m.kill()
+		m.tenure++
+		m.leaseFrom = m.w.now
+		m.changed()
+		end = m.leaseFrom + 30*time.Second
+	}
+	m.w.after(min(end-m.w.now, time.Second), m.leaseCheck)
+}
+
+func (m *Machine) changed() {
+	if m.again || !m.up || m.gone {
+		return
+	}
+	m.again = true
+	m.w.after(max(0, m.lastReport+500*time.Millisecond-m.w.now), func() {
+		m.again = false
+		m.report()
+	})
+}
+
+func (m *Machine) body() []byte {
+	m.tick++
+	shards := []map[string]any{}
+	for _, r := range m.sorted() {
+		x := map[string]any{"shard": r.job.id + "/" + strconv.Itoa(r.task), "launch": r.attempt, "phase": r.phase}
+		if r.phase == "ended" {
+			x["cause"] = r.cause
+			if r.kept {
+				x["kept"] = true
+			}
+		}
+		shards = append(shards, x)
+	}
+	var recall any
+	if m.recallAt > 0 {
+		recall = (m.recallAt - m.w.now).Seconds()
+	}
+	return mustJSON(map[string]any{"host": m.Name, "address": m.Addr, "hull": "big", "yard": m.Zone, "loaners": m.Spot,
+		"tenure": m.tenure, "tick": m.tick, "baton": m.baton, "recall_s": recall, "shards": shards})
+}
+
+func (m *Machine) report() {
+	if m.gone || !m.up || m.reporting {
+		return
+	}
+	if m.hanging() {
+		m.w.after(m.hangUntil-m.w.now, m.report)
+		return
+	}
+	m.reporting = true
+	sent, tenure := m.w.now, m.tenure
+	m.lastReport = sent
+	next := func(d time.Duration) {
+		m.w.after(d, func() { m.reporting = false; m.report() })
+	}
+	m.w.send(m.Name, actor.Call{Addr: m.w.nodes[m.node].addr, Method: "POST", Path: "/hello", Body: m.body(), Timeout: 4 * time.Second,
+		Done: func(a actor.Answer) {
+			if m.gone {
+				return
+			}
+			if m.hanging() {
+				a = actor.Answer{Err: actor.ErrNoAnswer}
+			}
+			if a.Err == nil && a.Status == 421 {
+				var r struct {
+					To string `json:"reports_to"`
+				}
+				_ = json.Unmarshal(a.Body, &r)
+				for i := range m.w.nodes {
+					if r.To == m.w.nodes[i].host && i != m.node {
+						m.node = i
+						next(m.w.secs(0, 0.5))
+						return
+					}
+				}
+			}
+			if a.Err != nil || a.Status != 200 {
+				m.node = (m.node + 1) % len(m.w.nodes)
+				next(time.Second)
+				return
+			}
+			var r struct {
+				Baton  uint64
+				Orders []order
+			}
+			if err := json.Unmarshal(a.Body, &r); err != nil {
+				m.w.broke("limits", "answer to a report: %s", a.Body)
+			}
+			if tenure == m.tenure && r.Baton >= m.baton && r.Baton > 0 {
+				if r.Baton > m.baton {
+					m.baton = r.Baton
+					m.changed()
+				}
+				m.leaseFrom = sent
+				m.execute(r.Orders)
+			}
+			m.reporting = false
+			m.w.after(m.w.secs(2.25, 3.75)-(m.w.now-sent), func() {
+				if m.lastReport == sent { // nothing has changed meanwhile
+					m.report()
+				}
+			})
+		}})
+}
+
+type order struct {
+	Verb   string
+	Shard  string
+	Launch uint64
+	Grace  float64 `json:"wind_down_s"`
+}
+
+func (m *Machine) serve(_, method, path string, body []byte, reply func(int, []byte)) {
+	if path == "/status" {
+		reply(200, m.body())
+		return
+	}
+	var r struct {
+		Baton, Tenure *uint64
+		Orders        []order
+	}
+	if path != "/orders" || json.Unmarshal(body, &r) != nil || r.Baton == nil || r.Tenure == nil {
+		m.w.broke("limits", "direct command %s %s", path, body)
+		reply(400, []byte(`{}`))
+		return
+	}
+	if *r.Baton < m.baton || *r.Tenure != m.tenure {
+		reply(409, m.body())
+		return
+	}
+	if *r.Baton > m.baton {
+		m.baton = *r.Baton
+		m.changed()
+	}
+	m.execute(r.Orders)
+	reply(200, m.body())
+}
+
+func (m *Machine) execute(orders []order) {
+	for _, o := range orders {
+		key := o.Shard + "#" + strconv.FormatUint(o.Launch, 10)
+		r := m.tasks[key]
+		switch o.Verb {
+		case "start":
+			if r == nil {
+				m.start(key, o)
+			}
+		case "halt":
+			if r != nil {
+				r.halt(o.Grace)
+			}
+		case "reap":
+			if r != nil && r.phase == "ended" {
+				delete(m.tasks, key)
+				m.changed()
+			}
+		default:
+			m.w.broke("limits", "order %q", o.Verb)
+		}
+	}
+}
+
+func (m *Machine) start(key string, o order) {
+	w := m.w
+	id, n, _ := strings.Cut(o.Shard, "/")
+	task, _ := strconv.Atoi(n)
+	j := w.jobs[id]
+	if j == nil || !j.asked || task >= j.tasks {
+		w.broke("invented", "start of %s, which nobody submitted", o.Shard)
+		return
+	}
+	r := &runner{m: m, key: key, job: j, task: task, attempt: o.Launch, phase: "pulling", from: w.now}
+	m.tasks[key] = r
+	m.changed()
+	cpus, gpus := j.cpus, j.gpus
+	for _, x := range m.tasks {
+		if x != r && x.phase != "ended" {
+			cpus += x.job.cpus
+			gpus += x.job.gpus
+			if x.job == j && x.task == task {
+				r.exit("busy", false)
+				return
+			}
+		}
+	}
+	if cpus > w.cfg.CPUs+1e-6 || gpus > w.cfg.GPUs+1e-6 {
+		r.exit("no_room", false)
+		return
+	}
+	w.checkStart(r)
+	d := 10 * time.Millisecond
+	if !m.images[j.image] {
+		d = w.secs(j.imageGB/0.7, j.imageGB/0.35)
+	}
+	r.in(d, func() {
+		m.images[j.image] = true
+		w.checkOn(r)
+		if j.results[task] {
+			r.exit("done", false)
+			return
+		}
+		if m.bad || j.bad {
+			r.phase = "running"
+			r.in(300*time.Millisecond, func() { r.exit("error", false) })
+			return
+		}
+		if j.shape == "ensemble" {
+			r.phase = "waiting"
+			m.changed()
+			w.gangOf(r).joined(r)
+			return
+		}
+		r.run()
+	})
+}
+
+// in runs f later unless the runner has ended or was told something else
+// meanwhile. A hanging machine does not execute its tasks.
+func (r *runner) in(d time.Duration, f func()) {
+	r.ends++
+	gen := r.ends
+	var fire func()
+	fire = func() {
+		if r.ends != gen || r.m.gone {
+			return
+		}
+		if r.m.hanging() {
+			r.m.w.after(r.m.hangUntil-r.m.w.now+time.Millisecond, fire)
+			return
+		}
+		f()
+	}
+	r.m.w.after(d, fire)
+}
+
+func (r *runner) run() {
+	r.phase = "running"
+	r.from = r.m.w.now
+	r.m.changed()
+	if r.job.shape == "standing" {
+		return
+	}
+	r.in(r.job.left(r.task), func() {
+		r.job.results[r.task] = true
+		r.exit("done", false)
+	})
+}
+
+func (r *runner) exit(cause string, kept bool) {
+	was := r.phase
+	r.ends++
+	r.phase, r.cause, r.kept = "ended", cause, kept
+	r.m.changed()
+	r.m.w.left(r, was)
+}
+
+func (r *runner) halt(grace float64) {
+	switch r.phase {
+	case "ended", "gone":
+	case "running":
+		if r.job.shape == "ensemble" {
+			r.m.w.gangOf(r).halt(r, grace)
+			return
+		}
+		if r.job.snapshotS > 0 && grace >= r.job.stowS {
+			r.phase = "flushing"
+			r.job.save(r.task, r.m.w.now-r.from)
+			r.m.changed()
+			r.in(time.Duration(r.job.stowS*float64(time.Second)), func() { r.exit("halted", true) })
+			return
+		}
+		r.exit("halted", false)
+	case "flushing":
+		if grace < r.job.stowS {
+			r.exit("halted", false)
+		}
+	default:
+		r.exit("halted", false)
+	}
+}
+
+// gang is one attempt of a gang.
+type gang struct {
+	job     *userJob
+	attempt uint64
+	in      map[int]*runner
+	running bool
+	stopped bool
+	from    time.Duration
+}
+
+func (w *World) gangOf(r *runner) *gang {
+	k := fmt.Sprintf("%s#%d", r.job.id, r.attempt)
+	g := w.gangs[k]
+	if g == nil {
+		g = &gang{job: r.job, attempt: r.attempt, in: map[int]*runner{}}
+		w.gangs[k] = g
+	}
+	return g
+}
+
+func (g *gang) members() []*runner {
+	var out []*runner
+	for i := 0; i < g.job.tasks; i++ {
+		if r := g.in[i]; r != nil {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+func (g *gang) joined(r *runner) {
+	w := r.m.w
+	g.in[r.task] = r
+	r.in(30*time.Second, func() { r.exit("incomplete", false) })
+	if g.running || len(g.in) < g.job.tasks {
+		return
+	}
+	g.running, g.from = true, w.now
+	left := g.job.left(0)
+	for _, x := range g.members() {
+		x.phase, x.from = "running", w.now
+		x.ends++
+		x.m.changed()
+	}
+	w.after(left, func() { g.complete() })
+}
+
+func (g *gang) complete() {
+	if g.stopped {
+		return
+	}
+	for _, x := range g.members() {
+		if x.m.hanging() { // the slowest machine holds all up
+			x.m.w.after(time.Second, g.complete)
+			return
+		}
+	}
+	g.stopped = true
+	for _, x := range g.members() {
+		g.job.results[x.task] = true
+		x.exit("done", false)
+	}
+}
+
+func (g *gang) halt(r *runner, grace float64) {
+	w := r.m.w
+	if g.stopped {
+		r.exit("halted", false)
+		return
+	}
+	r.exit("halted", false)
+	_ = w
+}
+
+// lost is told of every task of the gang that is gone.
+func (g *gang) lost(r *runner) {
+	if g.in[r.task] == r {
+		delete(g.in, r.task)
+	}
+	if !g.running || g.stopped {
+		return
+	}
+	g.stopped = true
+	w := r.m.w
+	for _, x := range g.members() {
+		x := x
+		x.in(w.secs(0.5, 5), func() { x.exit("peers", false) })
+	}
+}
--- /dev/null
+++ b/internal/sim/rules.go
@@ -0,0 +1,98 @@
+package sim
+
+import "time"
+
+// onMachine says whether a task counts as being on its machine.
+func (r *runner) onMachine() bool {
+	return r.phase == "waiting" || r.phase == "running" || r.phase == "flushing"
+}
+
+// checkStart holds at the moment a start is executed.
+func (w *World) checkStart(r *runner) {
+	j := r.job
+	if j.cancelledAt > 0 && w.now > j.cancelledAt+58*time.Second {
+		w.broke("ran_cancelled", "%s starts %.1f s after its cancellation", r.key, (w.now - j.cancelledAt).Seconds())
+	}
+	if (j.yard != "" && j.yard != r.m.Zone) || (r.m.Spot && !j.spot) {
+		w.broke("wrong_place", "%s on %s (%s, spot %v)", r.key, r.m.Name, r.m.Zone, r.m.Spot)
+	}
+	inZone := 1
+	for _, x := range j.runners(w) {
+		if x == r || x.phase == "ended" {
+			continue
+		}
+		if j.samePlace && x.m.Zone != r.m.Zone {
+			w.broke("wrong_place", "%s in %s while %s is in %s", r.key, r.m.Zone, x.key, x.m.Zone)
+		}
+		if x.m.Zone == r.m.Zone && x.task != r.task {
+			inZone++
+		}
+	}
+	if j.apart && inZone > (j.tasks+1)/2 {
+		w.broke("wrong_place", "%s is the %d. of %d in %s", r.key, inZone, j.tasks, r.m.Zone)
+	}
+	w.checkQuota(j.team)
+}
+
+// checkOn holds when a task has its image.
+func (w *World) checkOn(r *runner) {
+	w.Started++
+	for _, x := range r.job.runners(w) {
+		if x != r && x.task == r.task && x.onMachine() {
+			w.broke("ran_twice", "%s on %s while %s is on %s", r.key, r.m.Name, x.key, x.m.Name)
+		}
+	}
+}
+
+func (w *World) checkQuota(team string) {
+	cpus, gpus := 0.0, 0.0
+	for _, m := range w.Cloud.machines {
+		for _, x := range m.tasks {
+			if x.job.team == team && x.phase != "ended" {
+				cpus += x.job.cpus
+				gpus += x.job.gpus
+			}
+		}
+	}
+	for _, t := range w.cfg.Teams {
+		if t.Name == team && ((t.CPUsMax > 0 && cpus > t.CPUsMax+1e-6) || (t.GPUsMax > 0 && gpus > t.GPUsMax+1e-6)) {
+			w.broke("quota", "team %s uses %v CPUs and %v GPUs", team, cpus, gpus)
+		}
+	}
+}
+
+// left is told of every task that ends, whatever the reason.
+func (w *World) left(r *runner, was string) {
+	if r.job.shape == "ensemble" {
+		w.gangOf(r).lost(r)
+	}
+	_ = was
+}
+
+// runners are the attempts of the job that machines know.
+func (j *userJob) runners(w *World) []*runner {
+	var out []*runner
+	for _, m := range w.Cloud.machines {
+		if m.gone {
+			continue
+		}
+		for _, r := range m.tasks {
+			if r.job == j {
+				out = append(out, r)
+			}
+		}
+	}
+	return out
+}
+
+// checkCancelled looks for tasks of jobs that were cancelled too long ago.
+func (w *World) checkCancelled() {
+	w.after(500*time.Millisecond, w.checkCancelled)
+	for _, m := range w.Machines() {
+		for _, r := range m.sorted() {
+			if at := r.job.cancelledAt; at > 0 && r.onMachine() && w.now > at+58*time.Second {
+				w.broke("ran_cancelled", "%s is on %s %.1f s after its cancellation", r.key, m.Name, (w.now - at).Seconds())
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/sim/sim_test.go
@@ -0,0 +1,150 @@
+package sim
+
+import (
+	"log/slog"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"brooklb/internal/settings"
+)
+
+func world(seed uint64) *World {
+	log := slog.New(slog.DiscardHandler)
+	if os.Getenv("SIM_LOG") != "" {
+		log = slog.New(slog.NewTextHandler(os.Stdout, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	}
+	return New(Config{Seed: seed, Nodes: 3, Zones: []string{"a", "b", "c"}, Capacity: 8, Initial: 6, CPUs: 16, GPUs: 4, BootS: 15, Log: log,
+		Teams: []settings.Team{{Name: "red", CPUs: 60, CPUsMax: 160}, {Name: "blue", GPUs: 8, GPUsMax: 20}, {Name: "free"}}})
+}
+
+func (w *World) verdict(t *testing.T, minDone int) {
+	t.Helper()
+	for _, b := range w.Broken {
+		t.Error(b)
+	}
+	if len(w.Broken) > 0 {
+		return
+	}
+	if u := w.Unfinished(); len(u) > 0 {
+		t.Errorf("unfinished: %s", strings.Join(u, ", "))
+	}
+	if w.Started == 0 || w.Done < minDone {
+		t.Errorf("%d tasks started, %d jobs done, want %d", w.Started, w.Done, minDone)
+	}
+	t.Logf("%d tasks started, %d jobs done, %d state and %d cloud requests over the rate", w.Started, w.Done, w.State.Limited, w.Cloud.Limited)
+}
+
+func seeds(t *testing.T, n int) []uint64 {
+	if s := os.Getenv("SIM_SEED"); s != "" {
+		v, err := strconv.ParseUint(s, 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return []uint64{v}
+	}
+	if s := os.Getenv("SIM_SEEDS"); s != "" {
+		v, err := strconv.Atoi(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		n = v
+	}
+	var out []uint64
+	for i := 1; i <= n; i++ {
+		out = append(out, uint64(i))
+	}
+	return out
+}
+
+func TestQuietDay(t *testing.T) {
+	for _, s := range seeds(t, 3) {
+		t.Run(strconv.FormatUint(s, 10), func(t *testing.T) {
+			t.Parallel()
+			w := world(s)
+			w.Workload(60, 150*time.Second)
+			w.Run(900 * time.Second)
+			w.verdict(t, 30)
+			if w.State.Limited > 0 {
+				t.Errorf("%d requests over the state service's rate", w.State.Limited)
+			}
+		})
+	}
+}
+
+// trouble makes one random fault happen.
+func (w *World) trouble() {
+	r := w.rng
+	d := w.secs(2, 45)
+	ms := w.Machines()
+	switch r.IntN(14) {
+	case 0, 1:
+		w.Crash(r.IntN(3), w.secs(1, 10))
+	case 2:
+		for i := range 3 {
+			w.Crash(i, w.secs(1, 10))
+		}
+	case 3:
+		if l := w.Leader(); l >= 0 {
+			w.Crash(l, w.secs(1, 10))
+		}
+	case 4:
+		w.State.Outage(min(d, 15*time.Second))
+	case 5:
+		w.State.RefuseNode(w.NodeName(r.IntN(3)), d)
+	case 6:
+		w.Cut(w.NodeName(r.IntN(3)), "state", d, r.IntN(2) == 0)
+	case 7, 8:
+		if len(ms) > 0 {
+			ms[r.IntN(len(ms))].Hang(d)
+		}
+	case 9:
+		if len(ms) > 0 {
+			ms[r.IntN(len(ms))].Die()
+		}
+	case 10:
+		if len(ms) > 0 {
+			w.Cloud.Take(ms[r.IntN(len(ms))], w.secs(0, 12))
+		}
+	case 11: // a zone's machines lose some of the nodes
+		z := w.cfg.Zones[r.IntN(3)]
+		hold := r.IntN(2) == 0
+		for i := range 3 {
+			if r.IntN(3) > 0 {
+				for _, m := range ms {
+					if m.Zone == z {
+						w.Cut(w.NodeName(i), m.Name, d, hold)
+					}
+				}
+			}
+		}
+	case 12: // a node loses the workers, one by one
+		i, hold := r.IntN(3), r.IntN(2) == 0
+		for _, m := range ms {
+			if r.IntN(2) == 0 {
+				w.Cut(w.NodeName(i), m.Name, w.secs(1, 60), hold)
+			}
+		}
+	case 13:
+		w.Cloud.Outage(d)
+	}
+}
+
+// TestTroubledDays plays days with every kind of trouble, alone and together.
+func TestTroubledDays(t *testing.T) {
+	for _, s := range seeds(t, 40) {
+		t.Run(strconv.FormatUint(s, 10), func(t *testing.T) {
+			t.Parallel()
+			w := world(s)
+			w.State.Slow = 50
+			w.Workload(60, 200*time.Second)
+			for i := 0; i < 14; i++ {
+				w.At(w.secs(10, 260), w.trouble)
+			}
+			w.Run(1300 * time.Second)
+			w.verdict(t, 25)
+		})
+	}
+}
--- /dev/null
+++ b/internal/sim/users.go
@@ -0,0 +1,257 @@
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"time"
+
+	"brooklb/internal/actor"
+)
+
+// userJob is a job as its user and the truth know it.
+type userJob struct {
+	id, shape, team, image, yard   string
+	urgency                        string
+	tasks                          int
+	cpus, gpus, imageGB            float64
+	samePlace, apart, spot, bad    bool
+	runS, snapshotS, stowS         float64
+	asked, accepted                bool
+	cancelAsked                    bool
+	cancelledAt                    time.Duration
+	toldDone                       bool
+	results                        map[int]bool
+	saved                          map[int]time.Duration
+	acceptedAt, lastGood, doneTold time.Duration
+	Submitted                      time.Duration
+	// StartedAt is when the first task ran.
+	polls int
+}
+
+// left is what remains to be run, never nothing.
+func (j *userJob) left(task int) time.Duration {
+	return max(100*time.Millisecond, time.Duration(j.runS*float64(time.Second))-j.saved[task])
+}
+
+func (j *userJob) save(task int, ran time.Duration) { j.saved[task] += ran }
+
+// Job describes a job to submit.
+type Job struct {
+	ID, Shape, Team, Image, Yard string
+	Urgency                      string
+	Tasks                        int
+	CPUs, GPUs, ImageGB          float64
+	SamePlace, Apart, Spot, Bad  bool
+	RunS, SnapshotS, StowS       float64
+	CancelAfter                  time.Duration
+}
+
+func (w *World) pick() *simNode {
+	for i := 0; i < 5; i++ {
+		if s := w.nodes[w.rng.IntN(len(w.nodes))]; s.up {
+			return s
+		}
+	}
+	return w.nodes[0]
+}
+
+func (w *World) ask(method, path string, body []byte, timeout time.Duration, done func(a actor.Answer)) {
+	w.send("users", actor.Call{Addr: w.pick().addr, Method: method, Path: path, Body: body, Timeout: timeout, Done: done})
+}
+
+// Submit has a user submit a job now, poll it and perhaps cancel it.
+func (w *World) Submit(d Job) {
+	if d.Urgency == "" {
+		d.Urgency = "standard"
+	}
+	j := &userJob{id: d.ID, shape: d.Shape, team: d.Team, image: d.Image, yard: d.Yard, urgency: d.Urgency, tasks: d.Tasks, cpus: d.CPUs, gpus: d.GPUs,
+		imageGB: d.ImageGB, samePlace: d.SamePlace, apart: d.Apart, spot: d.Spot, bad: d.Bad, runS: d.RunS, snapshotS: d.SnapshotS, stowS: d.StowS,
+		results: map[int]bool{}, saved: map[int]time.Duration{}, asked: true, Submitted: w.now}
+	w.jobs[d.ID] = j
+	var yard any
+	if d.Yard != "" {
+		yard = d.Yard
+	}
+	body := mustJSON(map[string]any{"ref": d.ID, "lane": "c-" + d.Shape, "crew": d.Team, "shape": d.Shape, "urgency": d.Urgency, "shards": d.Tasks,
+		"cpus": d.CPUs, "gpus": d.GPUs, "memory_gb": 1.0, "bundle": d.Image, "size_gb": d.ImageGB, "hulls": nil, "yard": yard,
+		"same_place": d.SamePlace, "apart": d.Apart, "loaners": d.Spot, "expect_s": d.RunS, "snapshot_s": d.SnapshotS, "stow_s": d.StowS, "due_s": nil})
+	if d.CancelAfter > 0 {
+		w.after(d.CancelAfter, func() { w.cancel(j) })
+	}
+	w.submit(j, body, 0)
+}
+
+func (w *World) submit(j *userJob, body []byte, n int) {
+	asked := w.now
+	w.ask("POST", "/v2/runs", body, 5*time.Second, func(a actor.Answer) {
+		switch {
+		case a.Err == nil && (a.Status == 201 || a.Status == 200):
+			if !j.accepted {
+				j.accepted, j.acceptedAt, j.lastGood = true, w.now, w.now
+				w.after(w.secs(1, 5), func() { w.poll(j) })
+			}
+			w.answer(j, a.Body, asked)
+			if w.rng.IntN(10) == 0 && n < 50 { // a retry, perhaps long after
+				w.after(w.secs(1, 200), func() { w.submit(j, body, 100) })
+			}
+		case a.Err == nil && (a.Status == 400 || a.Status == 422):
+			if j.accepted {
+				w.broke("forgotten", "a repeated submission of %s got %d", j.id, a.Status)
+			} else {
+				w.broke("refused", "%s got %d %s", j.id, a.Status, a.Body)
+			}
+		default:
+			w.after(time.Second, func() { w.submit(j, body, n+1) })
+		}
+	})
+}
+
+// answer checks what a user is told. A question that was already on its way
+// when something newer was told may bring the older answer.
+func (w *World) answer(j *userJob, body []byte, asked time.Duration) {
+	var r struct{ Ref, Phase string }
+	if err := json.Unmarshal(body, &r); err != nil || r.Ref != j.id {
+		w.broke("limits", "answer %s about %s", body, j.id)
+		return
+	}
+	if j.cancelledAt > 0 && asked > j.cancelledAt && r.Phase != "withdrawn" {
+		w.broke("went_back", "%s was cancelled and is called %s", j.id, r.Phase)
+	}
+	if j.toldDone && asked > j.doneTold && r.Phase != "done" {
+		w.broke("went_back", "%s was done and is called %s", j.id, r.Phase)
+	}
+	switch r.Phase {
+	case "withdrawn":
+		if !j.cancelAsked {
+			w.broke("went_back", "%s is called cancelled, which nobody asked for", j.id)
+		}
+		if j.cancelledAt == 0 {
+			j.cancelledAt = w.now
+		}
+	case "done":
+		if len(j.results) < j.tasks || j.shape == "standing" {
+			w.broke("not_done", "%s is called done with %d of %d tasks", j.id, len(j.results), j.tasks)
+		}
+		if !j.toldDone {
+			j.toldDone, j.doneTold = true, w.now
+			w.Done++
+		}
+	case "pending", "running":
+	default:
+		w.broke("limits", "phase %q", r.Phase)
+	}
+}
+
+func (w *World) poll(j *userJob) {
+	j.polls++
+	asked := w.now
+	w.ask("GET", "/v2/runs/"+j.id, nil, 2*time.Second, func(a actor.Answer) {
+		switch {
+		case a.Err == nil && a.Status == 200:
+			j.lastGood = w.now
+			w.answer(j, a.Body, asked)
+		case a.Err == nil && a.Status == 404:
+			w.broke("forgotten", "%s got 404", j.id)
+		}
+		next := w.secs(4, 6)
+		if j.toldDone || j.cancelledAt > 0 {
+			next = w.secs(30, 90) // they may ask again at any time
+		}
+		w.after(next, func() { w.poll(j) })
+	})
+}
+
+func (w *World) cancel(j *userJob) {
+	if !j.accepted {
+		w.after(time.Second, func() { w.cancel(j) })
+		return
+	}
+	j.cancelAsked = true
+	asked := w.now
+	w.ask("POST", "/v2/runs/"+j.id+"/withdraw", nil, 5*time.Second, func(a actor.Answer) {
+		if a.Err == nil && a.Status == 200 {
+			w.answer(j, a.Body, asked)
+			return
+		}
+		if a.Err == nil && a.Status == 404 {
+			w.broke("forgotten", "cancelling %s got 404", j.id)
+			return
+		}
+		w.after(time.Second, func() { w.cancel(j) })
+	})
+}
+
+// PollUnknown asks for a job that nobody submitted.
+func (w *World) PollUnknown() {
+	w.ask("GET", "/v2/runs/j-99999999", nil, 2*time.Second, func(a actor.Answer) {
+		if a.Err == nil && a.Status == 200 {
+			w.broke("invented", "%s", a.Body)
+		}
+	})
+}
+
+// Workload submits random jobs over a span.
+func (w *World) Workload(n int, over time.Duration) {
+	w.checkCancelled()
+	for i := 0; i < n; i++ {
+		id := fmt.Sprintf("j-%06d", w.rng.IntN(900000)+i*1000000)
+		w.after(w.secs(0, over.Seconds()), func() {
+			if w.rng.IntN(5) == 0 {
+				w.PollUnknown()
+			}
+			w.Submit(w.randomJob(id))
+		})
+	}
+}
+
+func (w *World) randomJob(id string) Job {
+	r := w.rng
+	j := Job{ID: id, Shape: "sweep", Team: w.cfg.Teams[r.IntN(len(w.cfg.Teams))].Name, Image: fmt.Sprintf("img-%d", r.IntN(5)),
+		ImageGB: 0.5 + 4*r.Float64(), Tasks: 1 + r.IntN(10), CPUs: float64(1 + r.IntN(int(w.cfg.CPUs/4))), GPUs: float64(r.IntN(2)),
+		Spot: r.IntN(3) > 0, RunS: 2 + math.Exp(4*r.Float64()), Urgency: []string{"critical", "high", "standard", "idle"}[r.IntN(4)]}
+	switch r.IntN(6) {
+	case 0, 1:
+		j.Shape, j.Tasks = "ensemble", 1+r.IntN(4)
+		j.SamePlace = r.IntN(2) == 0
+		if r.IntN(2) == 0 {
+			j.CPUs = w.cfg.CPUs
+		}
+	case 2:
+		j.Shape, j.Tasks = "standing", 1+r.IntN(3)
+		j.CancelAfter = w.secs(20, 150)
+	}
+	switch r.IntN(8) {
+	case 0:
+		j.Tasks = 40 + r.IntN(80) // several chunks
+		if j.Shape != "sweep" {
+			j.Tasks = 5
+		}
+		j.CPUs, j.GPUs = 1, 0
+	case 1:
+		j.Yard = w.cfg.Zones[r.IntN(len(w.cfg.Zones))]
+	case 2:
+		if j.Shape != "ensemble" {
+			j.Apart = true
+			j.SamePlace = false
+		}
+	}
+	if r.IntN(2) == 0 {
+		j.SnapshotS, j.StowS = 5, 1
+	}
+	if r.IntN(6) == 0 && j.CancelAfter == 0 {
+		j.CancelAfter = w.secs(0.1, 60)
+	}
+	return j
+}
+
+// Unfinished lists accepted jobs that should be over and aren't.
+func (w *World) Unfinished() []string {
+	var out []string
+	for id, j := range w.jobs {
+		if j.accepted && j.shape != "standing" && !j.bad && !j.toldDone && j.cancelledAt == 0 {
+			out = append(out, fmt.Sprintf("%s (%s, %d of %d done)", id, j.shape, len(j.results), j.tasks))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/sim/world.go
@@ -0,0 +1,413 @@
+// Package sim is the repository's own simulated world: stand-ins for the state
+// service, the cloud, workers and users, written from the protocol, and a
+// network that delays, holds and resets what is sent. It runs several
+// controllers in one thread from a seed, and checks every rule of the protocol
+// against the stand-ins' own truth, never against what the service believes.
+package sim
+
+import (
+	"bytes"
+	"container/heap"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"time"
+
+	"brooklb/internal/actor"
+	"brooklb/internal/httpx"
+	"brooklb/internal/node"
+	"brooklb/internal/settings"
+)
+
+// Config of a world.
+type Config struct {
+	Seed     uint64
+	Nodes    int
+	Zones    []string
+	Teams    []settings.Team
+	Capacity int // machines of each kind in each zone
+	Initial  int // machines up at the start
+	CPUs     float64
+	GPUs     float64
+	BootS    float64
+	Log      *slog.Logger
+}
+
+// World is one simulated day.
+type World struct {
+	cfg     Config
+	rng     *rand.Rand
+	now     time.Duration
+	events  eventHeap
+	seq     uint64
+	Set     []*settings.Settings
+	nodes   []*simNode
+	State   *State
+	Cloud   *Cloud
+	jobs    map[string]*userJob
+	gangs   map[string]*gang
+	cuts    map[[2]string]*cut
+	Broken  []string
+	Started int
+	Done    int
+	log     *slog.Logger
+	watch   map[string]bool
+}
+
+type event struct {
+	at  time.Duration
+	seq uint64
+	f   func()
+}
+
+type eventHeap []*event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || (h[i].at == h[j].at && h[i].seq < h[j].seq)
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(*event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+func (w *World) after(d time.Duration, f func()) {
+	w.seq++
+	heap.Push(&w.events, &event{w.now + max(0, d), w.seq, f})
+}
+
+// At runs f at a time of the day.
+func (w *World) At(t time.Duration, f func()) { w.after(t-w.now, f) }
+
+// Now is the true time.
+func (w *World) Now() time.Duration { return w.now }
+
+// Run plays until the given time, checking the rules after each step.
+func (w *World) Run(until time.Duration) {
+	for len(w.events) > 0 && w.events[0].at <= until {
+		e := heap.Pop(&w.events).(*event)
+		w.now = e.at
+		e.f()
+	}
+	w.now = until
+}
+
+func (w *World) broke(rule, format string, a ...any) {
+	w.Broken = append(w.Broken, fmt.Sprintf("%8.3f %s: %s", w.now.Seconds(), rule, fmt.Sprintf(format, a...)))
+}
+
+func (w *World) secs(lo, hi float64) time.Duration {
+	return time.Duration((lo + (hi-lo)*w.rng.Float64()) * float64(time.Second))
+}
+
+// simNode is one controller's process.
+type simNode struct {
+	w      *World
+	host   string
+	addr   string
+	set    *settings.Settings
+	n      *node.Node
+	gen    int
+	up     bool
+	since  time.Duration
+	timers actor.Timers
+	rng    *rand.Rand
+	armed  time.Duration
+	alarm  int // the event that will run the timers; 0: none
+	alarms int
+	skew   float64
+}
+
+type nodeEnv struct {
+	s   *simNode
+	gen int
+}
+
+func (e *nodeEnv) Now() time.Duration {
+	return time.Duration(float64(e.s.w.now-e.s.since) * e.s.skew)
+}
+func (e *nodeEnv) Wall() time.Time  { return time.Unix(1700000000, 0).Add(e.s.w.now) }
+func (e *nodeEnv) Rand() *rand.Rand { return e.s.rng }
+func (e *nodeEnv) Log() *slog.Logger {
+	return e.s.w.log.With("node", e.s.host, "t", fmt.Sprintf("%.3f", e.s.w.now.Seconds()))
+}
+func (e *nodeEnv) After(d time.Duration, f func()) *actor.Timer {
+	t := e.s.timers.Add(e.Now()+d, f)
+	e.s.arm()
+	return t
+}
+func (e *nodeEnv) Call(c actor.Call) {
+	gen := e.gen
+	done := c.Done
+	c.Done = func(a actor.Answer) {
+		if e.s.gen == gen && e.s.up {
+			done(a)
+			e.s.arm()
+		}
+	}
+	e.s.w.send(e.s.host, c)
+}
+
+func (s *simNode) arm() {
+	at, ok := s.timers.Next()
+	if !ok || (s.alarm != 0 && at >= s.armed) {
+		return
+	}
+	s.armed = at
+	s.alarms++
+	s.alarm = s.alarms
+	gen, alarm := s.gen, s.alarm
+	env := &nodeEnv{s, gen}
+	s.w.after(time.Duration(float64(at-env.Now())/s.skew)+time.Millisecond, func() {
+		if s.gen == gen && s.up && s.alarm == alarm {
+			s.alarm = 0
+			s.timers.Run(env.Now())
+			s.arm()
+		}
+	})
+}
+
+// Crash ends a controller; it is back after the delay.
+func (w *World) Crash(i int, back time.Duration) {
+	s := w.nodes[i]
+	if !s.up {
+		return
+	}
+	s.up = false
+	s.gen++
+	w.after(back, func() { w.boot(i) })
+}
+
+func (w *World) boot(i int) {
+	s := w.nodes[i]
+	s.up, s.since, s.alarm = true, w.now, 0
+	s.timers = actor.Timers{}
+	s.gen++
+	s.n = node.New(&nodeEnv{s, s.gen}, s.set)
+	s.n.Start()
+	s.arm()
+}
+
+// Leader is the index of the node that leads, -1 if none does.
+func (w *World) Leader() int {
+	best, at := -1, uint64(0)
+	for i, s := range w.nodes {
+		if s.up {
+			if tok, ok := s.n.Leading(); ok && tok > at {
+				best, at = i, tok
+			}
+		}
+	}
+	return best
+}
+
+type cut struct {
+	hold  bool
+	until time.Duration
+}
+
+func pair(a, b string) [2]string {
+	if a > b {
+		a, b = b, a
+	}
+	return [2]string{a, b}
+}
+
+// Cut interrupts the network between two hosts. With hold, packets are
+// delivered when it ends; otherwise connections are reset.
+func (w *World) Cut(a, b string, d time.Duration, hold bool) {
+	w.cuts[pair(a, b)] = &cut{hold, w.now + d}
+}
+
+func (w *World) cutBetween(a, b string) *cut {
+	c := w.cuts[pair(a, b)]
+	if c == nil || w.now >= c.until {
+		return nil
+	}
+	return c
+}
+
+func (w *World) latency() time.Duration {
+	if w.rng.IntN(200) == 0 {
+		return w.secs(0.1, 0.4) // a lost packet, sent again
+	}
+	return w.secs(0.0005, 0.003)
+}
+
+type host interface {
+	hostName() string
+	reachable() bool
+	serve(from, method, path string, body []byte, reply func(status int, body []byte))
+}
+
+func (w *World) find(addr string) host {
+	switch {
+	case addr == stateAddr:
+		return w.State
+	case addr == cloudAddr:
+		return w.Cloud
+	}
+	for _, s := range w.nodes {
+		if s.addr == addr || s.set.ClusterListen == addr {
+			return s
+		}
+	}
+	if m := w.Cloud.byAddr[addr]; m != nil {
+		return m
+	}
+	return nil
+}
+
+func (s *simNode) hostName() string { return s.host }
+func (s *simNode) reachable() bool  { return s.up }
+func (s *simNode) serve(_, method, path string, body []byte, reply func(int, []byte)) {
+	gen := s.gen
+	p, q, _ := strings.Cut(path, "?")
+	s.n.Serve(&httpx.Request{Method: method, Path: p, Query: q, Body: body}, false, func(r httpx.Response) {
+		if s.gen == gen {
+			reply(r.Status, append([]byte(nil), r.Body...))
+		}
+	})
+	s.arm()
+}
+
+// send carries a request and its answer. What a cut holds arrives when the cut
+// ends, whether or not the sender still waits.
+func (w *World) send(from string, c actor.Call) {
+	finished := false
+	finish := func(a actor.Answer) {
+		if !finished {
+			finished = true
+			c.Done(a)
+		}
+	}
+	body := bytes.Clone(c.Body)
+	h := w.find(c.Addr)
+	if h == nil {
+		w.after(c.Timeout, func() { finish(actor.Answer{Err: actor.ErrNotSent}) })
+		return
+	}
+	connected := true
+	if ct := w.cutBetween(from, h.hostName()); ct != nil && !ct.hold {
+		w.after(w.latency(), func() { finish(actor.Answer{Err: actor.ErrNotSent}) })
+		return
+	} else if ct != nil && w.rng.IntN(2) == 0 {
+		connected = false // no connection was open: an attempt given up never completes
+	}
+	if s, ok := h.(*simNode); ok && !s.up {
+		w.after(w.latency(), func() { finish(actor.Answer{Err: actor.ErrNotSent}) })
+		return
+	}
+	w.after(c.Timeout, func() {
+		if connected {
+			finish(actor.Answer{Err: errors.Join(actor.ErrNoAnswer, errors.New("timed out"))})
+		} else {
+			finish(actor.Answer{Err: actor.ErrNotSent})
+		}
+	})
+	if !connected {
+		return
+	}
+	var deliver func()
+	deliver = func() {
+		if ct := w.cutBetween(from, h.hostName()); ct != nil {
+			if ct.hold {
+				w.after(ct.until-w.now+w.latency(), deliver)
+			} else {
+				finish(actor.Answer{Err: actor.ErrNoAnswer})
+			}
+			return
+		}
+		if m, ok := h.(*Machine); ok && m.gone {
+			return
+		} else if ok && w.now < m.hangUntil {
+			w.after(m.hangUntil-w.now+w.latency(), deliver) // read when it resumes
+			return
+		}
+		if !h.reachable() {
+			finish(actor.Answer{Err: actor.ErrNoAnswer})
+			return
+		}
+		h.serve(from, c.Method, c.Path, body, func(status int, answer []byte) {
+			var back func()
+			back = func() {
+				if ct := w.cutBetween(from, h.hostName()); ct != nil {
+					if ct.hold {
+						w.after(ct.until-w.now+w.latency(), back)
+					} else {
+						finish(actor.Answer{Err: actor.ErrNoAnswer})
+					}
+					return
+				}
+				finish(actor.Answer{Status: status, Body: answer})
+			}
+			w.after(w.latency(), back)
+		})
+	}
+	w.after(w.latency(), deliver)
+}
+
+const (
+	stateAddr = "10.2.0.1:2379"
+	cloudAddr = "10.2.0.2:8443"
+)
+
+// New makes a world with its controllers running.
+func New(cfg Config) *World {
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	w := &World{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 7)), jobs: map[string]*userJob{}, gangs: map[string]*gang{},
+		cuts: map[[2]string]*cut{}, log: cfg.Log}
+	w.State = newState(w)
+	w.Cloud = newCloud(w)
+	for i := 0; i < cfg.Nodes; i++ {
+		s := &settings.Settings{Label: fmt.Sprintf("n%d", i), Location: cfg.Zones[i%len(cfg.Zones)],
+			Bind: fmt.Sprintf("10.0.0.%d:8080", i+1), ClusterListen: fmt.Sprintf("10.0.0.%d:8081", i+1)}
+		s.External.State, s.External.Cloud = stateAddr, cloudAddr
+		f := &s.Facts
+		f.Nodes, f.Zones, f.Teams = cfg.Nodes, cfg.Zones, cfg.Teams
+		f.Workers.ReportS, f.Workers.LeaseS, f.Workers.GangWaitS, f.Workers.GangPeerS, f.Workers.CancelS = 3, 30, 30, 5, 58
+		f.State.RPS, f.State.WriteRPS, f.State.ValueKB, f.State.TxnOps = 150, 30, 4, 12
+		f.Cloud.RPS, f.Cloud.ListLagS = 4, 4
+		f.Limits.MemMB, f.Limits.Sockets = 125, 1000
+		w.Set = append(w.Set, s)
+	}
+	for i, s := range w.Set {
+		for k, p := range w.Set {
+			if k != i {
+				s.Peers = append(s.Peers, settings.Peer{Label: p.Label, Location: p.Location, Endpoint: p.ClusterListen})
+			}
+		}
+		n := &simNode{w: w, host: s.Label, addr: s.Bind, set: s, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(100+i))),
+			skew: 1 + (w.rng.Float64()-0.5)*0.001}
+		w.nodes = append(w.nodes, n)
+		w.boot(i)
+	}
+	for i := 0; i < cfg.Initial; i++ {
+		w.Cloud.create(cfg.Zones[i%len(cfg.Zones)], false, 0.1)
+	}
+	return w
+}
+
+// NodeName is the host name of a controller, for Cut.
+func (w *World) NodeName(i int) string { return w.nodes[i].host }
+
+// Machines lists the machines that exist, in name order.
+func (w *World) Machines() []*Machine {
+	var out []*Machine
+	for _, m := range w.Cloud.machines {
+		if !m.gone {
+			out = append(out, m)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
