--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -156,6 +156,7 @@
 	dirty    []*dirtyRef
 	flying   bool
 	stopped  bool
+	loading  bool
 	resting  *actor.Timer
 	// Hooks of the term.
 	OnDurable func(p []*Placement)
@@ -183,11 +184,15 @@
 // Load builds the picture from the replica, which the caller knows to be
 // complete up to our token.
 func (l *Ledger) Load() {
+	// A cancelled job must not be forgotten before its chunks have told where
+	// its tasks are: they occupy their team's limit until they are gone.
+	l.loading = true
 	l.store.Each(JobPrefix, func(k string, it statestore.Item) { l.JobEvent(k, &it) })
 	l.store.Each(ChunkPrefix, func(k string, it statestore.Item) { l.loadChunk(k, it) })
-	for _, j := range l.Jobs {
-		if j.Final != Open && j.Placed == 0 {
-			l.forgetIfOver(j)
+	l.loading = false
+	for _, j := range append([]*Job(nil), l.order...) {
+		if j.Final != Open {
+			l.abandon(j)
 		}
 	}
 }
@@ -240,7 +245,9 @@
 	if r.Final != Open && j.Final == Open {
 		j.Final = r.Final
 		l.env.Log().Info("job over", "job", id, "phase", r.Final)
-		l.abandon(j)
+		if !l.loading {
+			l.abandon(j)
+		}
 	}
 	if l.OnChange != nil {
 		l.OnChange()
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -74,6 +74,14 @@
 	}
 }
 
+// aNode is a controller, often the leader.
+func (w *World) aNode() string {
+	if l := w.Leader(); l >= 0 && w.rng.IntN(2) == 0 {
+		return w.NodeName(l)
+	}
+	return w.NodeName(w.rng.IntN(3))
+}
+
 // trouble makes one random fault happen.
 func (w *World) trouble() {
 	r := w.rng
@@ -93,9 +101,9 @@
 	case 4:
 		w.State.Outage(min(d, 15*time.Second))
 	case 5:
-		w.State.RefuseNode(w.NodeName(r.IntN(3)), d)
+		w.State.RefuseNode(w.aNode(), 3*d)
 	case 6:
-		w.Cut(w.NodeName(r.IntN(3)), "state", d, r.IntN(2) == 0)
+		w.Cut(w.aNode(), "state", 3*d, r.IntN(2) == 0)
 	case 7, 8:
 		if len(ms) > 0 {
 			ms[r.IntN(len(ms))].Hang(d)
@@ -139,6 +147,7 @@
 			t.Parallel()
 			w := world(s)
 			w.State.Slow = 50
+			w.Stuck = 700
 			w.Workload(60, 200*time.Second)
 			for i := 0; i < 14; i++ {
 				w.At(w.secs(10, 260), w.trouble)
@@ -148,3 +157,33 @@
 		})
 	}
 }
+
+// TestCancelledJobSurvivesFailover guards against a new leader that forgets a
+// cancelled job before it has read where its tasks are: their room in the
+// team's limit was given away while they still ran (found by a troubled day).
+func TestCancelledJobSurvivesFailover(t *testing.T) {
+	w := world(5)
+	w.checkCancelled()
+	w.At(20*time.Second, func() {
+		w.Submit(Job{ID: "j-1", Shape: "standing", Team: "blue", Image: "i", ImageGB: 0.1, Tasks: 5, CPUs: 1, GPUs: 4, CancelAfter: 20 * time.Second})
+	})
+	w.At(21*time.Second, func() {
+		w.Submit(Job{ID: "j-2", Shape: "standing", Team: "blue", Image: "i", ImageGB: 0.1, Tasks: 5, CPUs: 1, GPUs: 4})
+	})
+	w.At(39500*time.Millisecond, func() {
+		// The workers hear nobody: the cancelled tasks can't be stopped yet.
+		for _, m := range w.Machines() {
+			for i := range 3 {
+				w.Cut(w.NodeName(i), m.Name, 12*time.Second, false)
+			}
+		}
+	})
+	w.At(42*time.Second, func() { w.Crash(w.Leader(), 2*time.Second) })
+	w.Run(200 * time.Second)
+	for _, b := range w.Broken {
+		t.Error(b)
+	}
+	if w.Started < 6 {
+		t.Errorf("%d tasks started: the day didn't come to what it should show", w.Started)
+	}
+}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -54,7 +54,9 @@
 	Started int
 	Done    int
 	log     *slog.Logger
-	watch   map[string]bool
+	// Stuck is how seldom (one in so many) a request or an answer is held up
+	// alone for up to two minutes, while others pass; 0: never.
+	Stuck int
 }
 
 type event struct {
@@ -235,6 +237,9 @@
 }
 
 func (w *World) latency() time.Duration {
+	if w.Stuck > 0 && w.rng.IntN(w.Stuck) == 0 {
+		return w.secs(1, 10) * time.Duration(1+w.rng.IntN(12))
+	}
 	if w.rng.IntN(200) == 0 {
 		return w.secs(0.1, 0.4) // a lost packet, sent again
 	}
