--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -32,6 +32,7 @@
 	ListLag  time.Duration
 	Report   time.Duration
 	IdleKeep time.Duration // an idle machine beyond the headroom is returned after this
+	Patience time.Duration // work is rented for if it would wait this much longer than a new machine takes
 	Headroom float64       // part of the work arriving during a boot that is kept in idle machines
 }
 
@@ -489,115 +490,90 @@
 	return int(math.Round(a.cfg.Headroom * sum / span * boot))
 }
 
-type bin struct {
-	free  model.Need
-	typ   string
-	zone  string
-	spot  bool
-	fresh bool
-	job   *ledger.Job
-}
+// maxRent bounds what one pass asks for.
+const maxRent = 50
 
-// Rent looks at the jobs that could not be placed and at the machines that are
-// on their way, and rents what is missing.
-func (a *Actor) Rent(left []*ledger.Job) {
+// Rent projects when the jobs that could not be placed will start on what is
+// there and on its way. It rents where that is too late for an aim that a new
+// machine would still meet, or much later than a new machine would run it.
+func (a *Actor) Rent(left []*ledger.Job, v *placement.View, aims *placement.Aims, within map[*ledger.Job]bool) {
 	if len(a.led.Types) == 0 || !a.listOnce {
 		return
 	}
-	now := a.env.Now()
-	var bins []*bin
+	now := v.Now
 	byZone := map[string]int{}
-	idle := 0
-	v := &placement.View{Now: now, Silent: 3 * a.cfg.Report}
+	pr := placement.NewProjection(a.led, v)
+	ready, coming := 0, 0
 	for _, name := range a.names() {
 		m := a.led.Machines[name]
 		byZone[m.Zone]++
 		if !m.Heard && !m.Leaving && m.Known && m.Listed != "failed" {
-			bins = append(bins, &bin{free: m.Free(), typ: m.Type, zone: m.Zone, spot: m.Spot})
+			boot := time.Duration(a.led.Types[m.Type].BootS * 1.1 * float64(time.Second))
+			pr.Add(&placement.Slot{Type: m.Type, Zone: m.Zone, Spot: m.Spot, Cap: m.Cap}, max(m.RentedAt+boot, now+2*time.Second))
+			coming++
 		}
-		if placement.Usable(m, v) && len(m.P) == 0 {
-			idle++
+		if placement.Usable(m, v) && len(m.P) == 0 && v.Holds[m] == nil {
+			ready++
 		}
 	}
 	for p, n := range a.renting {
 		for i := 0; i < n; i++ {
-			if t := a.led.Types[p.typ]; t != nil {
-				bins = append(bins, &bin{free: t.Cap, typ: p.typ, zone: p.zone, spot: p.spot})
-			}
+			a.addNew(pr, p)
+			coming++
 		}
 	}
 	need := map[pool]int{}
 	total := 0
+	order := func(p pool) {
+		a.addNew(pr, p)
+		need[p]++
+		byZone[p.zone]++
+		total++
+	}
 	use := map[string]model.Need{}
 	for _, j := range left {
-		if total >= 50 {
+		if total >= maxRent {
 			break
 		}
-		n := 0
-		for i := range j.Tasks {
-			if !j.Tasks[i].Done && j.Tasks[i].P == nil && j.Tasks[i].NotBefore <= now+10*time.Second {
-				n++
-			}
-		}
-		if team := a.led.Teams[j.Spec.Team]; team != nil {
-			// Machines for tasks over the team's limit would stand idle.
-			for n > 0 {
-				t := *team
-				t.Used = t.Used.Add(use[j.Spec.Team]).Add(j.Spec.Need.Times(float64(n - 1)))
-				if t.Within(j.Spec.Need) {
-					break
-				}
-				if j.Spec.Kind == model.Gang {
-					n = 0
-					break
+		n := a.wanted(j, use)
+		step := 1
+		if j.Spec.Kind == model.Gang {
+			step = n
+		}
+		for tasks := 0; n > 0 && tasks < 300; tasks, n = tasks+1, n-step {
+			at, where, ok := pr.Find(j, step)
+			if t, fits := a.bootTime(j); fits && total < maxRent && a.worthRenting(j, now, at, ok, now+t, aims, within[j]) {
+				zone := ""
+				if step > 1 && j.Spec.OneZone {
+					zone = a.gangZone(j, pr, byZone)
 				}
-				n--
-			}
-			use[j.Spec.Team] = use[j.Spec.Team].Add(j.Spec.Need.Times(float64(n)))
-		}
-		zone := ""
-		for ; n > 0; n-- {
-			var at *bin
-			for _, b := range bins {
-				if fits(j, b, zone) {
-					at = b
-					break
-				}
-			}
-			if at == nil {
-				p, ok := a.choose(j, zone, byZone)
-				if !ok {
-					break
+				for i := 0; i < step; i++ {
+					if step > 1 && i > 0 {
+						if at2, _, ok2 := pr.Find(j, step); ok2 && at2 <= now+t+5*time.Second {
+							break
+						}
+					}
+					p, found := a.choose(j, zone, byZone)
+					if !found {
+						break
+					}
+					order(p)
 				}
-				t := a.led.Types[p.typ]
-				at = &bin{free: t.Cap, typ: p.typ, zone: p.zone, spot: p.spot, fresh: true}
-				bins = append(bins, at)
-				need[p]++
-				byZone[p.zone]++
-				total++
+				at, where, ok = pr.Find(j, step)
 			}
-			at.free = at.free.Sub(j.Spec.Need)
-			if j.Spec.OneZone {
-				zone = at.zone
+			if !ok {
+				break
 			}
+			pr.Take(j, at, where)
 		}
 	}
 	// Headroom: idle machines that wait for work to come.
-	expected := 0
-	for _, b := range bins {
-		if t := a.led.Types[b.typ]; t != nil && b.free == t.Cap {
-			expected++
-		}
-	}
-	for idle+expected < a.headroom() && total < 50 {
+	for ready+coming+total < a.headroom() && total < maxRent {
 		p, ok := a.choose(nil, "", byZone)
 		if !ok {
 			break
 		}
-		need[p]++
-		byZone[p.zone]++
-		expected++
-		total++
+		order(p)
 	}
 	var ps []pool
 	for p := range need {
@@ -609,10 +585,98 @@
 	}
 }
 
-func fits(j *ledger.Job, b *bin, zone string) bool {
-	s := j.Spec
-	return s.AllowsType(b.typ) && (s.Zone == "" || s.Zone == b.zone) && (s.Spot || !b.spot) &&
-		(zone == "" || zone == b.zone) && s.Need.Fits(b.free)
+func (a *Actor) addNew(pr *placement.Projection, p pool) {
+	if t := a.led.Types[p.typ]; t != nil {
+		pr.Add(&placement.Slot{Type: p.typ, Zone: p.zone, Spot: p.spot, Cap: t.Cap}, a.env.Now()+time.Duration(t.BootS*1.1*float64(time.Second)))
+	}
+}
+
+// wanted is how many tasks of the job want a machine and may have one.
+func (a *Actor) wanted(j *ledger.Job, use map[string]model.Need) int {
+	n := 0
+	for i := range j.Tasks {
+		if !j.Tasks[i].Done && j.Tasks[i].P == nil && j.Tasks[i].NotBefore <= a.env.Now()+10*time.Second {
+			n++
+		}
+	}
+	team := a.led.Teams[j.Spec.Team]
+	if team == nil {
+		return n
+	}
+	// Machines for tasks over the team's limit would stand idle.
+	for n > 0 {
+		t := *team
+		t.Used = t.Used.Add(use[j.Spec.Team]).Add(j.Spec.Need.Times(float64(n - 1)))
+		if t.Within(j.Spec.Need) {
+			break
+		}
+		if j.Spec.Kind == model.Gang {
+			n = 0
+			break
+		}
+		n--
+	}
+	use[j.Spec.Team] = use[j.Spec.Team].Add(j.Spec.Need.Times(float64(n)))
+	return n
+}
+
+// bootTime is how long a new machine takes until it runs the job.
+func (a *Actor) bootTime(j *ledger.Job) (time.Duration, bool) {
+	best, ok := time.Duration(0), false
+	for _, t := range a.led.Types {
+		if !j.Spec.AllowsType(t.Name) || !j.Spec.Need.Fits(t.Cap) {
+			continue
+		}
+		s := t.BootS * 1.1
+		if t.FetchGBs > 0 {
+			s += j.Spec.ImageGB / t.FetchGBs
+		}
+		if d := time.Duration(s * float64(time.Second)); !ok || d < best {
+			best, ok = d, true
+		}
+	}
+	return best, ok
+}
+
+func (a *Actor) worthRenting(j *ledger.Job, now, queued time.Duration, ok bool, fresh time.Duration, aims *placement.Aims, within bool) bool {
+	if !ok {
+		return true
+	}
+	if queued <= fresh {
+		return false
+	}
+	for _, t := range aims.StartBy(j, within) {
+		if queued > t && fresh <= t {
+			return true
+		}
+	}
+	return queued > fresh+a.cfg.Patience
+}
+
+// gangZone is the zone in which a gang is likeliest to come together.
+func (a *Actor) gangZone(j *ledger.Job, pr *placement.Projection, byZone map[string]int) string {
+	count := map[string]int{}
+	var zs []string
+	for _, t := range a.led.Types {
+		for _, z := range t.Zones {
+			if _, ok := count[z]; !ok {
+				count[z] = 0
+				zs = append(zs, z)
+			}
+		}
+	}
+	sort.Strings(zs)
+	for _, s := range pr.Slots {
+		count[s.Zone]++
+	}
+	best := ""
+	for _, z := range zs {
+		p, ok := a.choose(j, z, byZone)
+		if ok && p.zone == z && (best == "" || count[z] > count[best]) {
+			best = z
+		}
+	}
+	return best
 }
 
 // choose picks where to rent a machine for a job (nil: for any).
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,7 +39,10 @@
 	scheduled bool
 	closed    bool
 	lastPass  time.Duration
+	lastRent  time.Duration
 	left      []*ledger.Job
+	holds     map[*ledger.Machine]*placement.Hold
+	aims      *placement.Aims
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
@@ -150,10 +153,10 @@
 
 func (n *Node) lead(token uint64) {
 	f := &n.set.Facts
-	t := &term{n: n, token: token}
+	t := &term{n: n, token: token, holds: map[*ledger.Machine]*placement.Hold{}, aims: placement.NewAims(f.Objectives)}
 	t.led = ledger.New(n.env, n.store, token, f.Teams)
 	t.fleet = fleet.New(n.env, t.led, n.store, token, fleet.Config{Cloud: n.set.External.Cloud, RPS: f.Cloud.RPS,
-		ListLag: seconds(f.Cloud.ListLagS), Report: seconds(f.Workers.ReportS), IdleKeep: 45 * time.Second, Headroom: 0.3})
+		ListLag: seconds(f.Cloud.ListLagS), Report: seconds(f.Workers.ReportS), IdleKeep: 45 * time.Second, Patience: 45 * time.Second, Headroom: 0.3})
 	t.led.Load()
 	t.workers = workers.New(n.env, t.led, token, workers.Config{Lease: seconds(f.Workers.LeaseS), Hold: n.hold, Report: seconds(f.Workers.ReportS)})
 	t.workers.OnNewer = func() { n.elect.Deposed(token) }
@@ -212,6 +215,31 @@
 	for _, j := range t.led.Order() {
 		t.fleet.Arrived(j)
 	}
-	t.left = placement.Run(t.led, &placement.View{Now: now, Silent: 3 * seconds(t.n.set.Facts.Workers.ReportS)})
-	t.fleet.Rent(t.left)
+	v := &placement.View{Now: now, Silent: 3 * seconds(t.n.set.Facts.Workers.ReportS), Holds: t.holds}
+	placement.Release(v)
+	t.left = placement.Run(t.led, v)
+	within := placement.Within(t.led)
+	t.preempt(v, within)
+	if now-t.lastRent >= 500*time.Millisecond {
+		t.lastRent = now
+		t.fleet.Rent(t.left, v, t.aims, within)
+	}
+}
+
+// preempt makes room for waiting work that is to start promptly.
+func (t *term) preempt(v *placement.View, within map[*ledger.Job]bool) {
+	held := map[*ledger.Job]bool{}
+	for _, h := range t.holds {
+		held[h.Job] = true
+	}
+	for _, j := range t.left {
+		if held[j] || !(t.aims.Prompt(j) || within[j]) {
+			continue
+		}
+		stop := placement.Preempt(t.led, v, j, within[j])
+		for _, p := range stop {
+			t.n.env.Log().Info("preempting", "job", p.Job.Spec.ID, "task", p.Task, "machine", p.M.Name, "for", j.Spec.ID)
+			t.workers.Evict(p, "made room for "+j.Spec.ID)
+		}
+	}
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -13,8 +13,8 @@
 type View struct {
 	Now    time.Duration
 	Silent time.Duration // a machine not heard of for so long takes nothing new
-	// Reserved tells for which job a machine's free room is kept, nil if none.
-	Reserved map[*ledger.Machine]*ledger.Job
+	// Holds tells for which job a machine's free room is kept.
+	Holds map[*ledger.Machine]*Hold
 }
 
 // Usable reports whether the machine can take new tasks at all.
@@ -31,17 +31,7 @@
 			out = append(out, j)
 		}
 	}
-	within := map[*ledger.Job]bool{}
-	use := map[string]model.Need{}
-	for _, j := range l.Order() {
-		if t := l.Teams[j.Spec.Team]; t != nil && j.Final == ledger.Open && (t.CPUs > 0 || t.GPUs > 0) {
-			u := use[j.Spec.Team].Add(j.Spec.Need.Times(float64(len(j.Tasks) - j.NDone)))
-			if (t.CPUs <= 0 || u.CPUs <= t.CPUs+1e-6) && (t.GPUs <= 0 || u.GPUs <= t.GPUs+1e-6) {
-				within[j] = true
-				use[j.Spec.Team] = u
-			}
-		}
-	}
+	within := Within(l)
 	sort.SliceStable(out, func(a, b int) bool {
 		x, y := out[a], out[b]
 		if x.Spec.Priority != y.Spec.Priority {
@@ -55,6 +45,23 @@
 	return out
 }
 
+// Within tells which open jobs fit into their team's guarantee together with
+// the team's earlier unfinished jobs.
+func Within(l *ledger.Ledger) map[*ledger.Job]bool {
+	within := map[*ledger.Job]bool{}
+	use := map[string]model.Need{}
+	for _, j := range l.Order() {
+		if t := l.Teams[j.Spec.Team]; t != nil && j.Final == ledger.Open && (t.CPUs > 0 || t.GPUs > 0) {
+			u := use[j.Spec.Team].Add(j.Spec.Need.Times(float64(len(j.Tasks) - j.NDone)))
+			if (t.CPUs <= 0 || u.CPUs <= t.CPUs+1e-6) && (t.GPUs <= 0 || u.GPUs <= t.GPUs+1e-6) {
+				within[j] = true
+				use[j.Spec.Team] = u
+			}
+		}
+	}
+	return within
+}
+
 // Waiting reports whether a job has tasks that want a machine.
 func Waiting(j *ledger.Job) bool {
 	return j.Final == ledger.Open && !j.Broken && j.Readable() && j.NDone+j.Placed < len(j.Tasks)
@@ -166,7 +173,7 @@
 		if !Allowed(j, m) || !j.Spec.Need.Fits(m.Free()) || m == t.Avoid || !zoneAllows(j, count, m.Zone) {
 			continue
 		}
-		if r := v.Reserved[m]; r != nil && r != j {
+		if h := v.Holds[m]; h != nil && h.Job != j {
 			continue
 		}
 		if s := Score(l, v, j, m); top == nil || s > topScore {
@@ -293,7 +300,7 @@
 		if (zone != "" && m.Zone != zone) || !Allowed(j, m) || !j.Spec.Need.Fits(m.Free()) || avoid[m] {
 			continue
 		}
-		if r := v.Reserved[m]; r != nil && r != j {
+		if h := v.Holds[m]; h != nil && h.Job != j {
 			continue
 		}
 		cs = append(cs, cand{m, Score(l, v, j, m)})
