--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -176,7 +176,7 @@
 
 func (a *Actor) create(s *model.Spec, t wire.Txn, nonce string, tries int, reply func(httpx.Response)) {
 	accepted := func() {
-		a.env.Log().Info("job accepted", "job", s.ID, "class", s.Class, "team", s.Team, "tasks", s.Tasks)
+		a.env.Log().Info("job accepted", "job", s.ID, "class", s.Class, "team", s.Team, "tasks", s.Tasks, "estimate_s", s.EstimateS)
 		reply(httpx.Response{Status: 201, Body: wire.Encode(wire.JobState{Ref: s.ID, Phase: wire.JobPending})})
 	}
 	a.store.Commit(t, false, func(r statestore.Result, _ uint64, _ []string) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -69,8 +69,10 @@
 }
 
 type arrival struct {
-	at   time.Duration
-	size float64 // in machines
+	at     time.Duration
+	size   float64 // in machines
+	prompt bool    // of a class that is to start within a stated time
+	prio   model.Priority
 }
 
 const callTimeout = 4 * time.Second
@@ -432,12 +434,14 @@
 }
 
 // Arrived notes new work, from which the headroom is learned.
-func (a *Actor) Arrived(j *ledger.Job) {
+func (a *Actor) Arrived(j *ledger.Job, prompt, within bool) {
 	if a.counted[j.Spec.ID] {
 		return
 	}
 	a.counted[j.Spec.ID] = true
-	a.arrivals = append(a.arrivals, arrival{j.Since, a.machines(j.Spec, j.Spec.Tasks)})
+	if prompt || within {
+		a.arrivals = append(a.arrivals, arrival{j.Since, a.machines(j.Spec, j.Spec.Tasks), prompt, j.Spec.Priority})
+	}
 }
 
 // machines is how many machines n tasks fill.
@@ -470,15 +474,23 @@
 
 const arrivalWindow = 3 * time.Minute
 
+// headroom is how many idle machines to keep for work that is to start at
+// once. Machines whose tasks may be stopped for it are as good as idle.
 func (a *Actor) headroom() int {
 	now := a.env.Now()
-	sum := 0.0
+	prompt, other := 0.0, 0.0
+	prio := model.Low
 	k := 0
 	for _, x := range a.arrivals {
 		if now-x.at <= arrivalWindow {
 			a.arrivals[k] = x
 			k++
-			sum += x.size
+			if x.prompt {
+				prompt += x.size
+				prio = max(prio, x.prio)
+			} else {
+				other += x.size
+			}
 		}
 	}
 	a.arrivals = a.arrivals[:k]
@@ -487,7 +499,23 @@
 		boot = max(boot, t.BootS)
 	}
 	span := min(arrivalWindow, max(30*time.Second, now)).Seconds()
-	return int(math.Round(a.cfg.Headroom * sum / span * boot))
+	prompt *= boot / span
+	other *= boot / span
+	if prompt > 0 {
+		for _, m := range a.led.Machines {
+			if len(m.P) == 0 || !m.Heard || m.Leaving {
+				continue
+			}
+			all := true
+			for p := range m.P {
+				all = all && p.Job.Spec.Priority < prio && (p.Job.Spec.Kind != model.Gang || len(p.Job.Tasks) == 1)
+			}
+			if all {
+				prompt--
+			}
+		}
+	}
+	return int(math.Round(a.cfg.Headroom * (max(0, prompt) + other)))
 }
 
 // maxRent bounds what one pass asks for.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -156,7 +156,7 @@
 	t := &term{n: n, token: token, holds: map[*ledger.Machine]*placement.Hold{}, aims: placement.NewAims(f.Objectives)}
 	t.led = ledger.New(n.env, n.store, token, f.Teams)
 	t.fleet = fleet.New(n.env, t.led, n.store, token, fleet.Config{Cloud: n.set.External.Cloud, RPS: f.Cloud.RPS,
-		ListLag: seconds(f.Cloud.ListLagS), Report: seconds(f.Workers.ReportS), IdleKeep: 45 * time.Second, Patience: 45 * time.Second, Headroom: 0.3})
+		ListLag: seconds(f.Cloud.ListLagS), Report: seconds(f.Workers.ReportS), IdleKeep: 30 * time.Second, Patience: 45 * time.Second, Headroom: 0.5})
 	t.led.Load()
 	t.workers = workers.New(n.env, t.led, token, workers.Config{Lease: seconds(f.Workers.LeaseS), Hold: n.hold, Report: seconds(f.Workers.ReportS)})
 	t.workers.OnNewer = func() { n.elect.Deposed(token) }
@@ -212,13 +212,13 @@
 	if now-t.n.elect.Proven() > 3*time.Second {
 		return // without the state service nothing is started
 	}
+	within := placement.Within(t.led)
 	for _, j := range t.led.Order() {
-		t.fleet.Arrived(j)
+		t.fleet.Arrived(j, t.aims.Prompt(j), within[j])
 	}
 	v := &placement.View{Now: now, Silent: 3 * seconds(t.n.set.Facts.Workers.ReportS), Holds: t.holds}
 	placement.Release(v)
 	t.left = placement.Run(t.led, v)
-	within := placement.Within(t.led)
 	t.preempt(v, within)
 	if now-t.lastRent >= 500*time.Millisecond {
 		t.lastRent = now
