--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -216,7 +216,7 @@
 	for _, j := range t.led.Order() {
 		t.fleet.Arrived(j, t.aims.Prompt(j), within[j])
 	}
-	v := &placement.View{Now: now, Silent: 3 * seconds(t.n.set.Facts.Workers.ReportS), Holds: t.holds}
+	v := &placement.View{Now: now, Silent: 3 * seconds(t.n.set.Facts.Workers.ReportS), Holds: t.holds, Aims: t.aims}
 	placement.Release(v)
 	t.left = placement.Run(t.led, v)
 	t.preempt(v, within)
--- a/internal/placement/aims.go
+++ b/internal/placement/aims.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"time"
 
 	"brooklb/internal/ledger"
@@ -76,14 +75,19 @@
 	return out
 }
 
-// Urgent is the earliest of the times that can still be kept, or the far
-// future if none can.
-func (a *Aims) Urgent(j *ledger.Job, within bool, now time.Duration) time.Duration {
-	best := time.Duration(math.MaxInt64)
-	for _, t := range a.StartBy(j, within) {
-		if t >= now && t < best {
-			best = t
+// Lost reports whether no aim of the job can be met any more, even if it runs
+// for clearly less than its owner thinks. A job without aims is never lost.
+func (a *Aims) Lost(j *ledger.Job, within bool, now time.Duration) bool {
+	ts := a.StartBy(j, within)
+	early := time.Duration(j.Spec.EstimateS * (estimateSlack - 0.7) * float64(time.Second))
+	prompt := len(a.wait[j.Spec.Class])
+	for i, t := range ts {
+		if i >= prompt {
+			t += early
+		}
+		if t >= now {
+			return false
 		}
 	}
-	return best
+	return len(ts) > 0
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -15,6 +15,7 @@
 	Silent time.Duration // a machine not heard of for so long takes nothing new
 	// Holds tells for which job a machine's free room is kept.
 	Holds map[*ledger.Machine]*Hold
+	Aims  *Aims
 }
 
 // Usable reports whether the machine can take new tasks at all.
@@ -22,16 +23,31 @@
 	return m.Known && m.Heard && !m.Gone && !m.Leaving && !m.Notice && v.Now >= m.NoPlace && v.Now-m.LastHeard <= v.Silent
 }
 
-// Order lists the open jobs with idle tasks, most urgent first: priority,
-// then work within a team's guarantee, then age.
-func Order(l *ledger.Ledger) []*ledger.Job {
+// Order lists the open jobs with idle tasks, most urgent first: priority, then
+// work within a team's guarantee, then jobs that can still meet an aim, then
+// the least work left. When there is too much work, going by age makes
+// everybody late; the small jobs first keeps the most of them in time. What
+// has waited long counts as smaller, so that nothing starves.
+func Order(l *ledger.Ledger, v *View) []*ledger.Job {
 	var out []*ledger.Job
+	within := Within(l)
+	type rank struct {
+		lost bool
+		work float64
+	}
+	ranks := map[*ledger.Job]rank{}
 	for _, j := range l.Order() {
-		if Waiting(j) {
-			out = append(out, j)
+		if !Waiting(j) {
+			continue
 		}
+		out = append(out, j)
+		r := rank{lost: v.Aims != nil && v.Aims.Lost(j, within[j], v.Now)}
+		n := float64(len(j.Tasks) - j.NDone)
+		size := max(j.Spec.Need.CPUs, j.Spec.Need.GPUs, 1)
+		waited := max(0, v.Now-j.Since).Seconds()
+		r.work = n * size * max(1, j.Spec.EstimateS) / (1 + waited/starve.Seconds())
+		ranks[j] = r
 	}
-	within := Within(l)
 	sort.SliceStable(out, func(a, b int) bool {
 		x, y := out[a], out[b]
 		if x.Spec.Priority != y.Spec.Priority {
@@ -40,11 +56,21 @@
 		if within[x] != within[y] {
 			return within[x]
 		}
+		p, q := ranks[x], ranks[y]
+		if p.lost != q.lost {
+			return q.lost
+		}
+		if p.work != q.work {
+			return p.work < q.work
+		}
 		return x.Since < y.Since
 	})
 	return out
 }
 
+// starve is how long a job waits until it counts as half its size.
+const starve = time.Minute
+
 // Within tells which open jobs fit into their team's guarantee together with
 // the team's earlier unfinished jobs.
 func Within(l *ledger.Ledger) map[*ledger.Job]bool {
@@ -71,7 +97,7 @@
 func Run(l *ledger.Ledger, v *View) []*ledger.Job {
 	var left []*ledger.Job
 	machines := candidates(l, v)
-	for _, j := range Order(l) {
+	for _, j := range Order(l, v) {
 		if !placeJob(l, v, machines, j) {
 			left = append(left, j)
 		}
