--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -218,6 +218,11 @@
 	}
 	v := &placement.View{Now: now, Silent: 3 * seconds(t.n.set.Facts.Workers.ReportS), Holds: t.holds, Aims: t.aims}
 	placement.Release(v)
+	for _, j := range placement.Order(t.led, v) {
+		if t.aims.Prompt(j) && j.Spec.Kind == model.Gang && !t.holdsFor(j) {
+			t.evict(j, placement.Clear(t.led, v, j, within[j]))
+		}
+	}
 	t.left = placement.Run(t.led, v)
 	t.preempt(v, within)
 	if now-t.lastRent >= 500*time.Millisecond {
@@ -226,20 +231,27 @@
 	}
 }
 
-// preempt makes room for waiting work that is to start promptly.
-func (t *term) preempt(v *placement.View, within map[*ledger.Job]bool) {
-	held := map[*ledger.Job]bool{}
+func (t *term) holdsFor(j *ledger.Job) bool {
 	for _, h := range t.holds {
-		held[h.Job] = true
+		if h.Job == j {
+			return true
+		}
 	}
+	return false
+}
+
+// preempt makes room for waiting work that is to start promptly.
+func (t *term) preempt(v *placement.View, within map[*ledger.Job]bool) {
 	for _, j := range t.left {
-		if held[j] || !(t.aims.Prompt(j) || within[j]) {
-			continue
-		}
-		stop := placement.Preempt(t.led, v, j, within[j])
-		for _, p := range stop {
-			t.n.env.Log().Info("preempting", "job", p.Job.Spec.ID, "task", p.Task, "machine", p.M.Name, "for", j.Spec.ID)
-			t.workers.Evict(p, "made room for "+j.Spec.ID)
+		if !t.holdsFor(j) && (t.aims.Prompt(j) || within[j]) {
+			t.evict(j, placement.Preempt(t.led, v, j, within[j], false))
 		}
 	}
 }
+
+func (t *term) evict(j *ledger.Job, stop []*ledger.Placement) {
+	for _, p := range stop {
+		t.n.env.Log().Info("preempting", "job", p.Job.Spec.ID, "task", p.Task, "machine", p.M.Name, "for", j.Spec.ID)
+		t.workers.Evict(p, "made room for "+j.Spec.ID)
+	}
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -273,18 +273,9 @@
 		j.Waits = "the team's limit is used up"
 		return false
 	}
-	var zs []string
+	zs := []string{""}
 	if j.Spec.OneZone {
-		seen := map[string]bool{}
-		for _, m := range machines {
-			if !seen[m.Zone] {
-				seen[m.Zone] = true
-				zs = append(zs, m.Zone)
-			}
-		}
-		sort.Strings(zs)
-	} else {
-		zs = []string{""}
+		zs = zonesOf(machines)
 	}
 	var top []*ledger.Machine
 	topScore := 0.0
@@ -308,6 +299,33 @@
 	return true
 }
 
+func zonesOf(machines []*ledger.Machine) []string {
+	var zs []string
+	seen := map[string]bool{}
+	for _, m := range machines {
+		if !seen[m.Zone] {
+			seen[m.Zone] = true
+			zs = append(zs, m.Zone)
+		}
+	}
+	sort.Strings(zs)
+	return zs
+}
+
+// waitsForHold says that room is being made for the job on machines that have
+// its image, so that others aren't worth a fetch.
+func waitsForHold(v *View, j *ledger.Job, m *ledger.Machine) bool {
+	if _, ok := m.Images[j.Spec.Image]; ok || v.Holds[m] != nil {
+		return false
+	}
+	for _, h := range v.Holds {
+		if h.Job == j && h.Warm {
+			return true
+		}
+	}
+	return false
+}
+
 // pickGang finds machines for n tasks of a gang, all in the zone if one is
 // named. The score is that of the slowest.
 func pickGang(l *ledger.Ledger, v *View, machines []*ledger.Machine, j *ledger.Job, zone string, n int) ([]*ledger.Machine, float64) {
@@ -329,6 +347,9 @@
 		if h := v.Holds[m]; h != nil && h.Job != j {
 			continue
 		}
+		if waitsForHold(v, j, m) {
+			continue
+		}
 		cs = append(cs, cand{m, Score(l, v, j, m)})
 	}
 	sort.SliceStable(cs, func(a, b int) bool { return cs[a].s > cs[b].s })
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -12,6 +12,8 @@
 type Hold struct {
 	Job   *ledger.Job
 	Until time.Duration
+	// Warm: the machine was chosen for the image it has.
+	Warm bool
 }
 
 const (
@@ -79,8 +81,8 @@
 
 // Preempt makes room for a job that could not be placed by stopping what loses
 // least. It returns the tasks to stop and holds their machines for the job, or
-// nil if it can't be done.
-func Preempt(l *ledger.Ledger, v *View, j *ledger.Job, within bool) []*ledger.Placement {
+// nil if it can't be done. warm asks for machines that have the job's image.
+func Preempt(l *ledger.Ledger, v *View, j *ledger.Job, within, warm bool) []*ledger.Placement {
 	s := j.Spec
 	team := l.Teams[s.Team]
 	n := len(j.Tasks) - j.NDone - j.Placed
@@ -114,6 +116,9 @@
 		if h := v.Holds[m]; h != nil && h.Job != j {
 			continue
 		}
+		if _, ok := m.Images[s.Image]; warm && !ok {
+			continue
+		}
 		var vs []victim
 		free := m.Free()
 		for _, p := range m.List() {
@@ -186,7 +191,7 @@
 	}
 	var out []*ledger.Placement
 	for _, o := range best {
-		v.Holds[o.m] = &Hold{Job: j, Until: v.Now + holdFor}
+		v.Holds[o.m] = &Hold{Job: j, Until: v.Now + holdFor, Warm: warm}
 		out = append(out, o.stop...)
 	}
 	return out
@@ -200,3 +205,56 @@
 		}
 	}
 }
+
+// Clear stops lesser work on machines that have the job's image when fetching
+// it to a free machine would take longer than the aim allows: a fetch can
+// outlast the aim by itself. It returns the tasks to stop.
+func Clear(l *ledger.Ledger, v *View, j *ledger.Job, within bool) []*ledger.Placement {
+	if j.Placed > 0 || v.Aims == nil {
+		return nil
+	}
+	left := time.Duration(0)
+	for _, t := range v.Aims.StartBy(j, false)[:len(v.Aims.wait[j.Spec.Class])] {
+		if t > v.Now && (left == 0 || t-v.Now < left) {
+			left = t - v.Now
+		}
+	}
+	save := 3 * time.Second
+	if left < save {
+		return nil
+	}
+	fetch := time.Duration(0)
+	free := pick(l, v, j)
+	for _, m := range free {
+		fetch = max(fetch, fetchTime(l, j, m))
+	}
+	if free != nil && fetch < left {
+		return nil
+	}
+	return Preempt(l, v, j, within, true)
+}
+
+func fetchTime(l *ledger.Ledger, j *ledger.Job, m *ledger.Machine) time.Duration {
+	t := l.Types[m.Type]
+	if _, ok := m.Images[j.Spec.Image]; ok || t == nil || t.FetchGBs <= 0 {
+		return 0
+	}
+	return time.Duration(j.Spec.ImageGB / t.FetchGBs * float64(time.Second))
+}
+
+// pick is where a gang would go now.
+func pick(l *ledger.Ledger, v *View, j *ledger.Job) []*ledger.Machine {
+	ms := candidates(l, v)
+	zs := []string{""}
+	if j.Spec.OneZone {
+		zs = zonesOf(ms)
+	}
+	var top []*ledger.Machine
+	best := 0.0
+	for _, z := range zs {
+		if p, s := pickGang(l, v, ms, j, z, len(j.Tasks)-j.NDone); p != nil && (top == nil || s > best) {
+			top, best = p, s
+		}
+	}
+	return top
+}
