--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -29,6 +29,8 @@
 	NotBefore time.Duration
 	Errors    int
 	Avoid     *Machine // machine the task failed on last
+	Want      *Machine // machine it is being moved to
+	WantUntil time.Duration
 }
 
 // Chunk is the durable form of up to ChunkTasks tasks.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 
 	"brooklb/internal/actor"
 	"brooklb/internal/admission"
+	"brooklb/internal/consolidate"
 	"brooklb/internal/fleet"
 	"brooklb/internal/httpx"
 	"brooklb/internal/leader"
@@ -40,6 +41,7 @@
 	closed    bool
 	lastPass  time.Duration
 	lastRent  time.Duration
+	lastMoves time.Duration
 	left      []*ledger.Job
 	holds     map[*ledger.Machine]*placement.Hold
 	aims      *placement.Aims
@@ -153,10 +155,10 @@
 
 func (n *Node) lead(token uint64) {
 	f := &n.set.Facts
-	t := &term{n: n, token: token, holds: map[*ledger.Machine]*placement.Hold{}, aims: placement.NewAims(f.Objectives)}
+	t := &term{n: n, token: token, holds: map[*ledger.Machine]*placement.Hold{}, lastMoves: -consolidateEvery, aims: placement.NewAims(f.Objectives)}
 	t.led = ledger.New(n.env, n.store, token, f.Teams)
 	t.fleet = fleet.New(n.env, t.led, n.store, token, fleet.Config{Cloud: n.set.External.Cloud, RPS: f.Cloud.RPS,
-		ListLag: seconds(f.Cloud.ListLagS), Report: seconds(f.Workers.ReportS), IdleKeep: 30 * time.Second, Patience: 45 * time.Second, Headroom: 0.5})
+		ListLag: seconds(f.Cloud.ListLagS), Report: seconds(f.Workers.ReportS), IdleKeep: 15 * time.Second, Patience: 45 * time.Second, Headroom: 0.5})
 	t.led.Load()
 	t.workers = workers.New(n.env, t.led, token, workers.Config{Lease: seconds(f.Workers.LeaseS), Hold: n.hold, Report: seconds(f.Workers.ReportS)})
 	t.workers.OnNewer = func() { n.elect.Deposed(token) }
@@ -224,6 +226,7 @@
 		}
 	}
 	t.left = placement.Run(t.led, v)
+	t.consolidate(v)
 	t.preempt(v, within)
 	if now-t.lastRent >= 500*time.Millisecond {
 		t.lastRent = now
@@ -255,3 +258,40 @@
 		t.workers.Evict(p, "made room for "+j.Spec.ID)
 	}
 }
+
+const (
+	// consolidateEvery is the period of consolidation.
+	consolidateEvery = 30 * time.Second
+	// Room emptied for a job, and room at the targets of moves, is kept so long.
+	moveFor = 30 * time.Second
+)
+
+// consolidate empties a machine for a waiting job when there is room enough,
+// but not on one machine. All moves of the machine start together, and what
+// falls free is kept for the job, since a burst would fill it otherwise.
+func (t *term) consolidate(v *placement.View) {
+	if v.Now-t.lastMoves < consolidateEvery || len(t.left) == 0 {
+		return
+	}
+	ms := placement.Candidates(t.led, v)
+	j := consolidate.Triggered(t.led, v, ms, t.left)
+	if j == nil {
+		return
+	}
+	t.lastMoves = v.Now
+	plan := consolidate.Run(t.led, v, ms, j, consolidate.Default(), t.n.env.Rand())
+	if plan == nil {
+		t.n.env.Log().Info("consolidation finds no machine to empty", "for", j.Spec.ID, "machines", len(ms))
+		return
+	}
+	t.n.env.Log().Info("consolidating", "for", j.Spec.ID, "machine", plan.Empty.Name, "moves", len(plan.Moves))
+	t.holds[plan.Empty] = &placement.Hold{Job: j, Until: v.Now + moveFor}
+	for _, mv := range plan.Moves {
+		task := &mv.P.Job.Tasks[mv.P.Task]
+		task.Want, task.WantUntil = mv.To, v.Now+moveFor
+		if t.holds[mv.To] == nil {
+			t.holds[mv.To] = &placement.Hold{Job: mv.P.Job, Until: v.Now + moveFor, Move: true}
+		}
+		t.workers.Evict(mv.P, "moved to "+mv.To.Name)
+	}
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -96,7 +96,7 @@
 // Run places what can be placed and returns the jobs that still wait.
 func Run(l *ledger.Ledger, v *View) []*ledger.Job {
 	var left []*ledger.Job
-	machines := candidates(l, v)
+	machines := Candidates(l, v)
 	for _, j := range Order(l, v) {
 		if !placeJob(l, v, machines, j) {
 			left = append(left, j)
@@ -105,7 +105,8 @@
 	return left
 }
 
-func candidates(l *ledger.Ledger, v *View) []*ledger.Machine {
+// Candidates lists the machines that can take new tasks, in name order.
+func Candidates(l *ledger.Ledger, v *View) []*ledger.Machine {
 	var out []*ledger.Machine
 	for _, m := range l.Machines {
 		if Usable(m, v) {
@@ -193,6 +194,9 @@
 }
 
 func best(l *ledger.Ledger, v *View, machines []*ledger.Machine, j *ledger.Job, t *ledger.Task, count map[string]int) *ledger.Machine {
+	if w := t.Want; w != nil && v.Now < t.WantUntil && Usable(w, v) && Allowed(j, w) && j.Spec.Need.Fits(w.Free()) && zoneAllows(j, count, w.Zone) {
+		return w // its move was planned with all others of its machine
+	}
 	var top *ledger.Machine
 	topScore := 0.0
 	for _, m := range machines {
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -14,6 +14,8 @@
 	Until time.Duration
 	// Warm: the machine was chosen for the image it has.
 	Warm bool
+	// Move: the room is the target of a move, whose task still runs elsewhere.
+	Move bool
 }
 
 const (
@@ -109,7 +111,7 @@
 	}
 	byZone := map[string][]option{}
 	var zs []string
-	for _, m := range candidates(l, v) {
+	for _, m := range Candidates(l, v) {
 		if !Allowed(j, m) {
 			continue
 		}
@@ -200,7 +202,7 @@
 // Release drops holds that are over or no longer needed.
 func Release(v *View) {
 	for m, h := range v.Holds {
-		if v.Now >= h.Until || m.Gone || !Waiting(h.Job) {
+		if v.Now >= h.Until || m.Gone || (!h.Move && !Waiting(h.Job)) {
 			delete(v.Holds, m)
 		}
 	}
@@ -244,7 +246,7 @@
 
 // pick is where a gang would go now.
 func pick(l *ledger.Ledger, v *View, j *ledger.Job) []*ledger.Machine {
-	ms := candidates(l, v)
+	ms := Candidates(l, v)
 	zs := []string{""}
 	if j.Spec.OneZone {
 		zs = zonesOf(ms)
--- a/internal/placement/project.go
+++ b/internal/placement/project.go
@@ -53,7 +53,7 @@
 // NewProjection takes a snapshot of the machines in use.
 func NewProjection(l *ledger.Ledger, v *View) *Projection {
 	pr := &Projection{now: v.Now, types: l.Types}
-	for _, m := range candidates(l, v) {
+	for _, m := range Candidates(l, v) {
 		s := &Slot{M: m, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Cap: m.Cap, free: m.Free(), at: v.Now}
 		t := l.Types[m.Type]
 		for _, p := range m.List() {
