--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -164,27 +164,30 @@
 func TestCancelledJobSurvivesFailover(t *testing.T) {
 	w := world(5)
 	w.checkCancelled()
-	w.At(20*time.Second, func() {
+	w.At(5*time.Second, func() { // keeps all machines from being returned
+		w.Submit(Job{ID: "j-0", Shape: "standing", Team: "free", Image: "i", ImageGB: 0.1, Tasks: 6, CPUs: 9})
+	})
+	w.At(8*time.Second, func() {
 		w.Submit(Job{ID: "j-1", Shape: "standing", Team: "blue", Image: "i", ImageGB: 0.1, Tasks: 5, CPUs: 1, GPUs: 4, CancelAfter: 20 * time.Second})
 	})
-	w.At(21*time.Second, func() {
+	w.At(9*time.Second, func() {
 		w.Submit(Job{ID: "j-2", Shape: "standing", Team: "blue", Image: "i", ImageGB: 0.1, Tasks: 1, CPUs: 1, GPUs: 4})
 	})
-	w.At(39500*time.Millisecond, func() {
+	w.At(27500*time.Millisecond, func() {
 		// The first job's workers hear nobody: its tasks can't be stopped yet,
 		// while another machine could take the second job at once.
 		for _, m := range w.Machines() {
-			for i := 0; i < 3 && len(m.tasks) > 0; i++ {
+			for i := 0; i < 3 && len(m.tasks) > 1; i++ {
 				w.Cut(w.NodeName(i), m.Name, 12*time.Second, false)
 			}
 		}
 	})
-	w.At(42*time.Second, func() { w.Crash(w.Leader(), 2*time.Second) })
+	w.At(30*time.Second, func() { w.Crash(w.Leader(), 2*time.Second) })
 	w.Run(200 * time.Second)
 	for _, b := range w.Broken {
 		t.Error(b)
 	}
-	if w.Started < 6 {
+	if w.Started < 12 {
 		t.Errorf("%d tasks started: the day didn't come to what it should show", w.Started)
 	}
 }
