--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -409,7 +409,7 @@
 	keep := a.headroom()
 	var ms []*ledger.Machine
 	for _, m := range a.led.Machines {
-		if m.Heard && !m.Leaving && len(m.P) == 0 && now-max(m.IdleSince, a.began) > a.cfg.IdleKeep {
+		if m.Heard && !m.Leaving && len(m.P) == 0 && now-max(m.IdleSince, m.WantedAt, a.began) > a.cfg.IdleKeep {
 			ms = append(ms, m)
 		}
 	}
@@ -592,6 +592,13 @@
 			if !ok {
 				break
 			}
+			// A gang's first machines are idle until its last is up: they must
+			// not be returned meanwhile, or it never comes together.
+			for _, s := range where {
+				if s.M != nil {
+					s.M.WantedAt = now
+				}
+			}
 			pr.Take(j, at, where)
 		}
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -107,6 +107,7 @@
 	FirstSeen              time.Duration
 	RentedAt               time.Duration // request, on our steady clock
 	IdleSince              time.Duration
+	WantedAt               time.Duration // last time waiting work was expected to use it
 	NoPlace                time.Duration // no new placements before
 	Errs                   int
 	Ambiguous              map[string]uint64 // starts that may yet arrive: task/attempt -> session
--- a/internal/sim/checks_test.go
+++ b/internal/sim/checks_test.go
@@ -58,6 +58,7 @@
 			for i := range 3 {
 				w.Crash(i, time.Hour)
 			}
+			w.Run(70 * time.Second)
 		}
 		breakIt(w, m)
 		w.Run(w.Now() + 5*time.Second)
