--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -38,7 +38,9 @@
 	token  uint64 // 0: not leading
 	// proven is when the last question was sent whose answer proved both that
 	// we lead and that the replica has everything up to then.
-	proven  time.Duration
+	proven time.Duration
+	// abstain is until when this node leaves leading to others.
+	abstain time.Duration
 	onLead  func(token uint64)
 	onLose  func()
 	known   record
@@ -114,7 +116,7 @@
 }
 
 func (a *Actor) try() {
-	if a.trying || a.token != 0 || a.known.Node != "" || !a.store.Synced() {
+	if a.trying || a.token != 0 || a.known.Node != "" || !a.store.Synced() || a.env.Now() < a.abstain {
 		return
 	}
 	a.trying = true
@@ -245,3 +247,9 @@
 	a.lose(why)
 	a.store.Release(permit)
 }
+
+// Yield resigns and leaves leading to others for a while.
+func (a *Actor) Yield(why string, d time.Duration) {
+	a.abstain = a.env.Now() + d
+	a.Resign(why)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,8 @@
 	adm   *admission.Actor
 	term  *term
 	hold  time.Duration
+	// yields counts how often we gave way since we last heard the workers.
+	yields int
 }
 
 // term is everything that exists only while this node leads.
@@ -186,6 +188,11 @@
 		return
 	}
 	t.n.env.After(250*time.Millisecond, t.tick)
+	if t.deaf() {
+		t.n.yields++
+		t.n.elect.Yield("most workers don't reach this node", min(2*time.Minute, yieldFor<<t.n.yields))
+		return
+	}
 	t.workers.Tick()
 	t.fleet.Tick()
 	t.led.Kick()
@@ -295,3 +302,36 @@
 		t.workers.Evict(mv.P, "moved to "+mv.To.Name)
 	}
 }
+
+// yieldFor is how long a leader that hears no workers leaves it to others the
+// first time.
+const yieldFor = 8 * time.Second
+
+// deaf reports whether most workers don't reach this node, although it reaches
+// the state service: a cut between it and them. Their leases would run out
+// with all their tasks while another node may well hear them.
+func (t *term) deaf() bool {
+	report := seconds(t.n.set.Facts.Workers.ReportS)
+	now := t.n.env.Now()
+	// After a change of leader, workers need a failed report (4 s), a pause and
+	// a redirection to get here.
+	// Each time in vain the next term lasts longer: if the workers are dead and
+	// not cut off, some leader must lead long enough to prove it.
+	if now-t.workers.Began() < (8*time.Second+report)<<min(t.n.yields, 5) {
+		return false
+	}
+	all, heard := 0, 0
+	for _, m := range t.led.Machines {
+		if m.Leaving || (!m.Heard && len(m.P) == 0 && m.Listed != "running") {
+			continue
+		}
+		all++
+		if m.Heard && now-m.LastHeard < 5*report/2 {
+			heard++
+		}
+	}
+	if all >= 3 && heard*5 >= all*3 {
+		t.n.yields = 0
+	}
+	return all >= 3 && heard*5 < all*2 && len(t.n.set.Peers) > 0
+}
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -191,3 +191,32 @@
 		t.Errorf("%d tasks started: the day didn't come to what it should show", w.Started)
 	}
 }
+
+// TestDeafLeaderGivesWay guards against a leader that is cut off from the
+// workers only, and keeps leading until all their leases have run out.
+func TestDeafLeaderGivesWay(t *testing.T) {
+	for _, hold := range []bool{false, true} {
+		w := world(6)
+		w.At(5*time.Second, func() {
+			w.Submit(Job{ID: "j-1", Shape: "sweep", Team: "free", Image: "i", ImageGB: 0.1, Tasks: 20, CPUs: 4, RunS: 100})
+		})
+		first := -1
+		w.At(30*time.Second, func() {
+			first = w.Leader()
+			for _, m := range w.Machines() {
+				w.Cut(w.NodeName(first), m.Name, 60*time.Second, hold)
+			}
+		})
+		w.Run(85 * time.Second)
+		if l := w.Leader(); l == first || l < 0 {
+			t.Errorf("hold %v: node %d leads still", hold, l)
+		}
+		for _, m := range w.Machines() {
+			if m.tenure > 1 {
+				t.Errorf("hold %v: the lease of %s ran out", hold, m.Name)
+			}
+		}
+		w.Run(300 * time.Second)
+		w.verdict(t, 1)
+	}
+}
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -54,6 +54,9 @@
 	return a
 }
 
+// Began is when the term began.
+func (a *Actor) Began() time.Duration { return a.began }
+
 // Close ends the term: no order is given any more.
 func (a *Actor) Close() { a.stopped = true }
 
