--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"brooklb/internal/leader"
 	"brooklb/internal/ledger"
 	"brooklb/internal/model"
+	"brooklb/internal/peer"
 	"brooklb/internal/placement"
 	"brooklb/internal/settings"
 	"brooklb/internal/statestore"
@@ -26,6 +27,7 @@
 	store *statestore.Store
 	elect *leader.Actor
 	adm   *admission.Actor
+	peers *peer.Actor
 	term  *term
 	hold  time.Duration
 	// yields counts how often we gave way since we last heard the workers.
@@ -62,6 +64,7 @@
 	n.store = statestore.New(env, statestore.Config{Addr: set.External.State, RPS: f.State.RPS, WriteRPS: f.State.WriteRPS,
 		Nodes: f.Nodes, TxnOps: f.State.TxnOps, ValueBytes: int(f.State.ValueKB * 1024)})
 	n.adm = admission.New(env, n.store, f.Teams, f.Zones)
+	n.peers = peer.New(env, set.Peers, n.status)
 	n.adm.Live = n.live
 	n.adm.Healthy = n.healthy
 	n.store.Subscribe(func(key string, it *statestore.Item) {
@@ -78,13 +81,36 @@
 func (n *Node) Start() {
 	n.store.Start()
 	n.elect.Start()
+	n.peers.Start()
 }
 
 // Leading reports whether the node leads, and its token.
 func (n *Node) Leading() (uint64, bool) { return n.elect.Token(), n.term != nil }
 
+func (n *Node) status() peer.Status {
+	return peer.Status{Label: n.set.Label, State: (n.env.Now() - n.store.Contact()).Milliseconds(), Leading: n.term != nil}
+}
+
+const (
+	// A node that the state service alone refuses sends its users elsewhere
+	// after this long.
+	aloneFor = 3 * time.Second
+	// A node that hears nothing of anybody does so after this long.
+	lostFor = 15 * time.Second
+)
+
+// healthy tells whether users are better off here than elsewhere. In an outage
+// of the state service they are no better off anywhere, and a node that called
+// itself unhealthy would only come back later than the service does.
 func (n *Node) healthy() bool {
-	return n.store.Synced() && n.env.Now()-n.store.Contact() < 15*time.Second
+	if !n.store.Synced() {
+		return false
+	}
+	silent := n.env.Now() - n.store.Contact()
+	if silent >= aloneFor && n.peers.OthersReachState(aloneFor) {
+		return false
+	}
+	return silent < lostFor || !n.peers.OthersReachState(lostFor) && n.peers.Heard()
 }
 
 func (n *Node) live(id string) (done, running int, why string, ok bool) {
@@ -108,15 +134,17 @@
 }
 
 // Serve implements httpx.Handler.
-func (n *Node) Serve(r *httpx.Request, peer bool, reply func(httpx.Response)) {
-	if !peer {
-		if r.Path == wire.PathReport {
-			n.report(r, reply)
-			return
-		}
-		if n.adm.Serve(r, reply) {
-			return
-		}
+func (n *Node) Serve(r *httpx.Request, fromPeer bool, reply func(httpx.Response)) {
+	if fromPeer {
+		n.peers.Serve(r, reply)
+		return
+	}
+	if r.Path == wire.PathReport {
+		n.report(r, reply)
+		return
+	}
+	if n.adm.Serve(r, reply) {
+		return
 	}
 	reply(httpx.Response{Status: 404, Body: wire.Error("no such path")})
 }
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,135 @@
+// Package peer is what controllers tell each other, in CBOR: how they stand
+// with the state service. Nothing in it decides who leads; it helps a node to
+// tell an outage, which everybody has, from a refusal that it has alone.
+package peer
+
+import (
+	"fmt"
+	"time"
+
+	"brooklb/internal/actor"
+	"brooklb/internal/httpx"
+	"brooklb/internal/settings"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Path of the status exchange.
+const Path = "/peer/status"
+
+const contentType = "application/cbor"
+
+// Status of a node.
+type Status struct {
+	V       int    `cbor:"1,keyasint"`
+	Label   string `cbor:"2,keyasint"`
+	State   int64  `cbor:"3,keyasint"` // ms since the state service's last definite answer
+	Leading bool   `cbor:"4,keyasint"`
+}
+
+const (
+	version = 1
+	every   = time.Second
+	timeout = 800 * time.Millisecond
+	// What a peer said is believed for this long.
+	fresh = 3 * time.Second
+)
+
+type known struct {
+	Status
+	at time.Duration
+}
+
+// Actor exchanges statuses with the peers.
+type Actor struct {
+	env   actor.Env
+	peers []settings.Peer
+	own   func() Status
+	known map[string]known
+}
+
+// New makes the actor; own tells the node's current status.
+func New(env actor.Env, peers []settings.Peer, own func() Status) *Actor {
+	return &Actor{env: env, peers: peers, own: own, known: map[string]known{}}
+}
+
+// Start begins to tell the peers.
+func (a *Actor) Start() {
+	body := a.encode()
+	for _, p := range a.peers {
+		label := p.Label
+		a.env.Call(actor.Call{Addr: p.Endpoint, Method: "POST", Path: Path, Type: contentType, Body: body, Timeout: timeout, Done: func(ans actor.Answer) {
+			if ans.Err != nil || ans.Status != 200 {
+				return
+			}
+			if err := a.learn(ans.Body, label); err != nil {
+				a.env.Log().Error("bad answer of a peer", "peer", label, "err", err)
+			}
+		}})
+	}
+	a.env.After(every, a.Start)
+}
+
+func (a *Actor) encode() []byte {
+	s := a.own()
+	s.V = version
+	b, err := cbor.Marshal(s)
+	if err != nil {
+		panic("peer: " + err.Error()) // a type of ours that CBOR cannot hold
+	}
+	return b
+}
+
+// learn takes in a status; label is whose it has to be, "" for any peer's.
+func (a *Actor) learn(b []byte, label string) error {
+	var s Status
+	if err := cbor.Unmarshal(b, &s); err != nil {
+		return fmt.Errorf("status: %w", err)
+	}
+	if s.V < 1 || s.State < 0 || (label != "" && s.Label != label) {
+		return fmt.Errorf("status of %q, version %d, is not what was asked for", s.Label, s.V)
+	}
+	for _, p := range a.peers {
+		if p.Label == s.Label {
+			a.known[s.Label] = known{s, a.env.Now()}
+			return nil
+		}
+	}
+	return fmt.Errorf("status of %q, who is no peer", s.Label)
+}
+
+// Serve answers a peer.
+func (a *Actor) Serve(r *httpx.Request, reply func(httpx.Response)) {
+	if r.Path != Path || r.Method != "POST" {
+		reply(httpx.Response{Status: 404})
+		return
+	}
+	if err := a.learn(r.Body, ""); err != nil {
+		a.env.Log().Error("bad message of a peer", "err", err)
+		reply(httpx.Response{Status: 400})
+		return
+	}
+	reply(httpx.Response{Status: 200, Type: contentType, Body: a.encode()})
+}
+
+// OthersReachState reports whether a peer has had an answer of the state
+// service within the span, by what it said lately.
+func (a *Actor) OthersReachState(span time.Duration) bool {
+	now := a.env.Now()
+	for _, k := range a.known {
+		if age := now - k.at; age <= fresh && time.Duration(k.State)*time.Millisecond+age <= span {
+			return true
+		}
+	}
+	return false
+}
+
+// Heard reports whether any peer has said something lately.
+func (a *Actor) Heard() bool {
+	for _, k := range a.known {
+		if a.env.Now()-k.at <= fresh {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -220,3 +220,26 @@
 		w.verdict(t, 1)
 	}
 }
+
+// TestHealth guards against a node that keeps users although the state service
+// refuses it alone, and against all nodes sending users away in an outage.
+func TestHealth(t *testing.T) {
+	w := world(8)
+	health := func(at time.Duration, want string) {
+		w.Run(at)
+		got := ""
+		for _, s := range w.nodes {
+			s.serve("lb", "GET", "/healthz", nil, func(status int, _ []byte) { got += strconv.Itoa(status) + " " })
+		}
+		if got != want {
+			t.Errorf("at %v: %s, want %s", at, got, want)
+		}
+	}
+	health(5*time.Second, "200 200 200 ")
+	w.State.RefuseNode(w.NodeName(1), 20*time.Second)
+	health(12*time.Second, "200 503 200 ")
+	health(30*time.Second, "200 200 200 ")
+	w.State.Outage(30 * time.Second)
+	health(40*time.Second, "200 200 200 ")
+	health(58*time.Second, "200 200 200 ")
+}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -275,7 +275,7 @@
 func (s *simNode) serve(_, method, path string, body []byte, reply func(int, []byte)) {
 	gen := s.gen
 	p, q, _ := strings.Cut(path, "?")
-	s.n.Serve(&httpx.Request{Method: method, Path: p, Query: q, Body: body}, false, func(r httpx.Response) {
+	s.n.Serve(&httpx.Request{Method: method, Path: p, Query: q, Body: body}, strings.HasPrefix(p, "/peer/"), func(r httpx.Response) {
 		if s.gen == gen {
 			reply(r.Status, append([]byte(nil), r.Body...))
 		}
