--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -148,6 +148,9 @@
 			w := world(s)
 			w.State.Slow = 50
 			w.Stuck = 700
+			if s%2 == 0 {
+				w.Garbage = 60
+			}
 			w.Workload(60, 200*time.Second)
 			for i := 0; i < 14; i++ {
 				w.At(w.secs(10, 260), w.trouble)
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -54,6 +54,9 @@
 	Started int
 	Done    int
 	log     *slog.Logger
+	// Garbage is how seldom (one in so many) an answer to a controller has a
+	// body that makes no sense; 0: never.
+	Garbage int
 	// Stuck is how seldom (one in so many) a request or an answer is held up
 	// alone for up to two minutes, while others pass; 0: never.
 	Stuck int
@@ -341,6 +344,9 @@
 			return
 		}
 		h.serve(from, c.Method, c.Path, body, func(status int, answer []byte) {
+			if strings.HasPrefix(from, "n") && w.Garbage > 0 && w.rng.IntN(w.Garbage) == 0 {
+				answer = []byte([]string{``, `{`, `[]`, `null`, `{"epoch":"x"}`, `"text"`, `{"items":7,"news":{},"hosts":[{"ref":" "}],"hulls":null}`}[w.rng.IntN(7)])
+			}
 			var back func()
 			back = func() {
 				if ct := w.cutBetween(from, h.hostName()); ct != nil {
--- a/internal/statestore/store.go
+++ b/internal/statestore/store.go
@@ -206,8 +206,8 @@
 			if s.gen != gen {
 				return
 			}
-			var p wire.Page
-			if a.Err != nil || a.Status != 200 || wire.Decode(a.Body, &p) != nil || (p.HasNext && len(p.Items) == 0) {
+			p, err := wire.DecodePage(a.Body)
+			if a.Err != nil || a.Status != 200 || err != nil || (p.HasNext && len(p.Items) == 0) {
 				again(after)
 				return
 			}
@@ -281,9 +281,9 @@
 			s.Start()
 			return
 		}
-		var n wire.News
-		if a.Status != 200 || wire.Decode(a.Body, &n) != nil {
-			s.env.Log().Error("bad answer to a watch", "status", a.Status)
+		n, err := wire.DecodeNews(a.Body)
+		if a.Status != 200 || err != nil {
+			s.env.Log().Error("bad answer to a watch", "status", a.Status, "err", err)
 			retry(time.Second)
 			return
 		}
@@ -395,8 +395,8 @@
 	s.call("POST", wire.PathCommit, wire.Encode(t), readTimeout, func(a actor.Answer) {
 		s.reading--
 		defer s.pump()
-		var o wire.Outcome
-		if a.Err != nil || (a.Status != 200 && a.Status != 409) || wire.Decode(a.Body, &o) != nil {
+		o, err := wire.DecodeOutcome(a.Body, a.Status == 409)
+		if a.Err != nil || (a.Status != 200 && a.Status != 409) || err != nil {
 			for _, r := range batch {
 				r.done(nil, false)
 			}
@@ -428,11 +428,11 @@
 	}
 	s.call("GET", wire.PathKeys+"/"+key, nil, readTimeout, func(a actor.Answer) {
 		switch {
-		case a.Err == nil && a.Status == 404:
+		case a.Err == nil && a.Status == 404 && wire.IsAbsent(a.Body):
 			done(nil, true)
 		case a.Err == nil && a.Status == 200:
-			var it wire.Item
-			if err := wire.Decode(a.Body, &it); err != nil {
+			it, err := wire.DecodeItem(a.Body, key)
+			if err != nil {
 				s.env.Log().Error("bad answer of the state service", "key", key, "err", err)
 				done(nil, false)
 				return
@@ -462,7 +462,7 @@
 		return
 	}
 	s.call("POST", wire.PathCommit, wire.Encode(t), commitTimeout, func(a actor.Answer) {
-		var o wire.Outcome
+		o, err := wire.DecodeOutcome(a.Body, a.Status == 409)
 		switch {
 		case a.Unsent():
 			done(Refused, 0, nil)
@@ -470,7 +470,7 @@
 			done(Maybe, 0, nil)
 		case a.Status == 503 || a.Status == 429:
 			done(Refused, 0, nil)
-		case a.Status == 200 && wire.Decode(a.Body, &o) == nil && o.Epoch > 0:
+		case a.Status == 200 && err == nil && o.Epoch > 0:
 			for _, c := range t.Apply {
 				if c.Delete != "" {
 					s.drop(c.Delete, o.Epoch)
@@ -479,7 +479,7 @@
 				}
 			}
 			done(OK, o.Epoch, nil)
-		case a.Status == 409 && wire.Decode(a.Body, &o) == nil:
+		case a.Status == 409 && err == nil:
 			done(Conflict, o.Epoch, o.Failed)
 		case a.Status == 400 && strings.Contains(string(a.Body), "lease"):
 			done(NoLease, 0, nil)
@@ -487,7 +487,7 @@
 			s.env.Log().Error("the state service calls a transaction malformed", "body", string(a.Body))
 			done(Malformed, 0, nil)
 		default:
-			s.env.Log().Error("bad answer to a transaction", "status", a.Status)
+			s.env.Log().Error("bad answer to a transaction", "status", a.Status, "err", err)
 			done(Maybe, 0, nil)
 		}
 	})
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -67,3 +67,34 @@
 		}
 	})
 }
+
+// TestStrictAnswers guards against answers that make no sense but decode: null
+// once read as a page without keys, and tasks were started twice.
+func TestStrictAnswers(t *testing.T) {
+	for _, b := range []string{``, `null`, `{}`, `[]`, `7`, `{"epoch":1}`, `{"items":[{}],"epoch":1,"news":[{}],"hosts":[{}]}`} {
+		if p, err := DecodePage([]byte(b)); err == nil {
+			t.Errorf("page %q: %+v", b, p)
+		}
+		if n, err := DecodeNews([]byte(b)); err == nil {
+			t.Errorf("news %q: %+v", b, n)
+		}
+		if o, err := DecodeOutcome([]byte(b), true); err == nil {
+			t.Errorf("conflict %q: %+v", b, o)
+		}
+		if it, err := DecodeItem([]byte(b), "k"); err == nil {
+			t.Errorf("item %q: %+v", b, it)
+		}
+		if ms, _, err := DecodeMachines([]byte(b)); err == nil {
+			t.Errorf("machines %q: %+v", b, ms)
+		}
+		if ts, err := DecodeMachineTypes([]byte(b)); err == nil {
+			t.Errorf("types %q: %+v", b, ts)
+		}
+	}
+	if o, err := DecodeOutcome([]byte(`{"epoch":0}`), false); err != nil || o.Epoch != 0 {
+		t.Errorf("an empty store's answer: %+v %v", o, err)
+	}
+	if p, err := DecodePage([]byte(`{"items":[],"has_next":false,"epoch":0}`)); err != nil || p.HasNext {
+		t.Errorf("an empty store's page: %v", err)
+	}
+}
