A called-off start of unknown fate no longer holds its room for ever

A healthy worker whose direct start got no answer kept the room occupied until its session ended; after 30 s the leader now steps down and is elected anew, whose higher token makes the copy void. Guard: workers.TestStuckStart.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -192,6 +192,7 @@
 	t.led.Load()
 	t.workers = workers.New(n.env, t.led, token, workers.Config{Lease: seconds(f.Workers.LeaseS), Hold: n.hold, Report: seconds(f.Workers.ReportS)})
 	t.workers.OnNewer = func() { n.elect.Deposed(token) }
+	t.workers.OnStuck = func() { n.elect.Resign("a start that was called off may still arrive, a new token makes it void") }
 	t.workers.OnTrust = func(*ledger.Machine) { t.wake() }
 	t.led.OnDeposed = func() { n.elect.Deposed(token) }
 	t.led.OnChange = t.wake
@@ -222,6 +223,9 @@
 		return
 	}
 	t.workers.Tick()
+	if t.closed {
+		return
+	}
 	t.fleet.Tick()
 	t.led.Kick()
 	if t.n.env.Now()-t.lastPass > time.Second {
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -32,6 +32,7 @@
 	// Hooks of the term.
 	OnNewer func()                    // a worker has seen a higher token
 	OnTrust func(m *ledger.Machine)   // a machine reports for the first time
+	OnStuck func()                    // only a higher token can settle a start
 	errJobs map[string]map[string]int // job -> machine -> errors
 }
 
@@ -462,6 +463,10 @@
 	now := a.env.Now()
 	for _, name := range a.names() {
 		m := a.led.Machines[name]
+		if a.stuck(m) && a.OnStuck != nil {
+			a.OnStuck()
+			return
+		}
 		if len(m.P) == 0 || now < a.DeadAt(m) {
 			continue
 		}
@@ -474,6 +479,26 @@
 	}
 }
 
+// stuckFor is how long a start of unknown fate may hold its room after it was
+// called off.
+const stuckFor = 30 * time.Second
+
+// stuck reports whether the machine's worker is well and doesn't have a task
+// that was called off, but a start sent directly got no answer and may still
+// arrive. It would hold its room for ever; under a higher token it is void.
+func (a *Actor) stuck(m *ledger.Machine) bool {
+	if len(m.Ambiguous) == 0 {
+		return false
+	}
+	now := a.env.Now()
+	for p := range m.P {
+		if p.Stopping && !p.Seen && now-p.StopSince > stuckFor && now-m.LastHeard < 2*a.cfg.Report && a.mayArrive(m, p) {
+			return true
+		}
+	}
+	return false
+}
+
 func (a *Actor) names() []string {
 	out := make([]string, 0, len(a.led.Machines))
 	for n := range a.led.Machines {
--- /dev/null
+++ b/internal/workers/workers_test.go
@@ -0,0 +1,87 @@
+package workers
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"brooklb/internal/actor"
+	"brooklb/internal/ledger"
+	"brooklb/internal/model"
+	"brooklb/internal/settings"
+	"brooklb/internal/statestore"
+)
+
+// env runs timers by hand; direct commands never get an answer.
+type env struct {
+	now    time.Duration
+	timers actor.Timers
+	calls  int
+}
+
+func (e *env) Now() time.Duration { return e.now }
+func (e *env) Wall() time.Time    { return time.Unix(0, 0) }
+func (e *env) Rand() *rand.Rand   { return nil }
+func (e *env) Log() *slog.Logger  { return slog.New(slog.DiscardHandler) }
+func (e *env) After(d time.Duration, f func()) *actor.Timer {
+	return e.timers.Add(e.now+d, f)
+}
+func (e *env) Call(c actor.Call) {
+	if c.Path == "/orders" {
+		e.calls++
+		c.Done(actor.Answer{Err: actor.ErrNoAnswer})
+	}
+}
+
+// TestStuckStart guards against a start of unknown fate that holds its room
+// for ever after it was called off, and against freeing the room too early.
+func TestStuckStart(t *testing.T) {
+	e := &env{now: time.Minute}
+	l := ledger.New(e, statestore.New(e, statestore.Config{RPS: 10, WriteRPS: 10, Nodes: 1, TxnOps: 8}), 7, []settings.Team{{Name: "t"}})
+	l.Types["g"] = &model.MachineType{Name: "g", Cap: model.Need{CPUs: 8}}
+	a := New(e, l, 7, Config{Lease: 30 * time.Second, Hold: 20 * time.Second, Report: 3 * time.Second})
+	asked := 0
+	a.OnStuck = func() { asked++ }
+	rec := ledger.NewRecord(&model.Spec{ID: "j-1", Team: "t", Tasks: 1, Need: model.Need{CPUs: 1}, Image: "i"}, 0, "")
+	l.JobEvent(ledger.JobKey("j-1"), &statestore.Item{Value: rec.Encode(), Stamp: 1})
+	seq := uint64(0)
+	report := func() []model.Order {
+		seq++
+		return a.Report(&model.Report{Machine: "m", Addr: "x", Type: "g", Zone: "z", Session: 1, Seq: seq, Token: 7})
+	}
+	report()
+	m := l.Machines["m"]
+	p := l.Plan(l.Jobs["j-1"], 0, 1, m)
+	p.Durable = true
+	a.Push(m)
+	e.now += 10 * time.Millisecond
+	e.timers.Run(e.now)
+	if e.calls == 0 || len(m.Ambiguous) != 1 {
+		t.Fatalf("%d direct commands, %d of unknown fate", e.calls, len(m.Ambiguous))
+	}
+	l.Stop(p, 0, "called off")
+	for range 15 {
+		e.now += 3 * time.Second
+		for _, o := range report() {
+			if o.Op == model.Start {
+				t.Error("started after it was called off")
+			}
+		}
+		if p.Gone {
+			t.Fatal("its room was freed while the start may arrive")
+		}
+		a.Tick()
+		if asked > 0 && e.now-p.StopSince < stuckFor {
+			t.Fatal("asked for a new token too early")
+		}
+	}
+	if asked == 0 {
+		t.Fatal("nobody asked for a new token")
+	}
+	seq++
+	a.Report(&model.Report{Machine: "m", Addr: "x", Type: "g", Zone: "z", Session: 2, Seq: 1, Token: 7})
+	if !p.Gone || m.Used.CPUs != 0 {
+		t.Error("a later session doesn't free the room")
+	}
+}
