--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"strconv"
+	"strings"
 
 	"github.com/pelletier/go-toml/v2"
 )
@@ -101,7 +102,12 @@
 				}
 				field += k
 			}
-			return nil, fmt.Errorf("settings: %s:%d:%d: field %q: %s", name, row, col, field, de.Error())
+			// The library names Go's own types at length.
+			reason, rest, found := strings.Cut(strings.TrimPrefix(de.Error(), "toml: "), " into struct field")
+			if i := strings.LastIndex(rest, " of type "); found && i >= 0 {
+				reason += " as " + rest[i+len(" of type "):]
+			}
+			return nil, fmt.Errorf("settings: %s:%d:%d: field %s: %s", name, row, col, field, reason)
 		}
 		return nil, fmt.Errorf("settings: %s: %w", name, err)
 	}
