--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -59,6 +60,7 @@
 	listing   bool
 	listedAt  time.Duration
 	typesAt   time.Duration
+	watchedAt time.Duration
 	listOnce  bool
 	seen      map[string]bool
 	want      map[string]time.Duration // to be returned: name -> since
@@ -97,7 +99,7 @@
 	for i := range ts {
 		a.led.Types[ts[i].Name] = &ts[i]
 	}
-	for _, m := range a.led.Machines {
+	for _, m := range a.led.Sorted() {
 		if m.Type != "" && !m.Known {
 			a.led.Describe(m, m.Type, m.Zone, m.Spot)
 		}
@@ -143,7 +145,10 @@
 	if !a.listing && now-a.listedAt > 3*time.Second {
 		a.list()
 	}
-	a.watchMachines()
+	if now-a.watchedAt >= time.Second {
+		a.watchedAt = now
+		a.watchMachines()
+	}
 }
 
 func (a *Actor) askTypes() {
@@ -275,9 +280,8 @@
 // count, and then returning the machine makes it certain.
 func (a *Actor) missing() {
 	now := a.env.Now()
-	for _, name := range a.names() {
-		m := a.led.Machines[name]
-		if a.seen[name] {
+	for _, m := range a.led.Sorted() {
+		if a.seen[m.Name] {
 			continue
 		}
 		if m.Listed == "" && now-m.FirstSeen < 4*a.cfg.ListLag+5*time.Second {
@@ -293,15 +297,6 @@
 	}
 }
 
-func (a *Actor) names() []string {
-	out := make([]string, 0, len(a.led.Machines))
-	for n := range a.led.Machines {
-		out = append(out, n)
-	}
-	sort.Strings(out)
-	return out
-}
-
 // Return gives a machine back. What is on it is gone when the cloud says so.
 func (a *Actor) Return(m *ledger.Machine, why string) {
 	if _, ok := a.want[m.Name]; ok {
@@ -354,7 +349,7 @@
 func (a *Actor) watchMachines() {
 	now := a.env.Now()
 	alive, total := map[string]int{}, map[string]int{}
-	for _, m := range a.led.Machines {
+	for _, m := range a.led.Sorted() {
 		if m.Heard {
 			total[m.Zone]++
 			if now-m.LastHeard < 2*a.cfg.Report {
@@ -364,10 +359,9 @@
 	}
 	fence := max(10*time.Second, 7*a.cfg.Report/2)
 	idle := 0
-	for _, name := range a.names() {
-		m := a.led.Machines[name]
+	for _, m := range a.led.Sorted() {
 		if m.Leaving {
-			if _, ok := a.want[name]; !ok && len(m.P) == 0 {
+			if _, ok := a.want[m.Name]; !ok && len(m.P) == 0 {
 				a.Return(m, "set aside")
 			}
 			continue
@@ -406,13 +400,16 @@
 
 func (a *Actor) returnIdle(idle int) {
 	now := a.env.Now()
-	keep := a.headroom()
 	var ms []*ledger.Machine
-	for _, m := range a.led.Machines {
+	for _, m := range a.led.Sorted() {
 		if m.Heard && !m.Leaving && len(m.P) == 0 && now-max(m.IdleSince, m.WantedAt, a.began) > a.cfg.IdleKeep {
 			ms = append(ms, m)
 		}
 	}
+	if len(ms) == 0 {
+		return
+	}
+	keep := a.headroom()
 	// The dear ones go first, then those with the fewest images.
 	sort.Slice(ms, func(i, j int) bool {
 		x, y := ms[i], ms[j]
@@ -502,12 +499,12 @@
 	prompt *= boot / span
 	other *= boot / span
 	if prompt > 0 {
-		for _, m := range a.led.Machines {
+		for _, m := range a.led.Sorted() {
 			if len(m.P) == 0 || !m.Heard || m.Leaving {
 				continue
 			}
 			all := true
-			for p := range m.P {
+			for _, p := range m.P {
 				all = all && p.Job.Spec.Priority < prio && (p.Job.Spec.Kind != model.Gang || len(p.Job.Tasks) == 1)
 			}
 			if all {
@@ -519,7 +516,10 @@
 }
 
 // maxRent bounds what one pass asks for.
-const maxRent = 50
+const maxRent = 200
+
+// maxTasks bounds how many tasks of one job a pass looks at.
+const maxTasks = 300
 
 // Rent projects when the jobs that could not be placed will start on what is
 // there and on its way. It rents where that is too late for an aim that a new
@@ -532,15 +532,16 @@
 	byZone := map[string]int{}
 	pr := placement.NewProjection(a.led, v)
 	ready, coming := 0, 0
-	for _, name := range a.names() {
-		m := a.led.Machines[name]
+	for _, m := range a.led.Sorted() {
 		byZone[m.Zone]++
 		if !m.Heard && !m.Leaving && m.Known && m.Listed != "failed" {
 			boot := time.Duration(a.led.Types[m.Type].BootS * 1.1 * float64(time.Second))
 			pr.Add(&placement.Slot{Type: m.Type, Zone: m.Zone, Spot: m.Spot, Cap: m.Cap}, max(m.RentedAt+boot, now+2*time.Second))
 			coming++
 		}
-		if placement.Usable(m, v) && len(m.P) == 0 && v.Holds[m] == nil {
+	}
+	for _, m := range v.Machines {
+		if len(m.P) == 0 && v.Holds[m] == nil {
 			ready++
 		}
 	}
@@ -552,63 +553,83 @@
 	}
 	need := map[pool]int{}
 	total := 0
-	order := func(p pool) {
-		a.addNew(pr, p)
+	order := func(j *ledger.Job, zone string) *placement.Slot {
+		p, ok := a.choose(j, zone, byZone)
+		if !ok || total >= maxRent {
+			return nil
+		}
 		need[p]++
 		byZone[p.zone]++
 		total++
+		return a.addNew(pr, p)
 	}
 	use := map[string]model.Need{}
+	// A gang's first machines are idle until its last is up: they must not be
+	// returned meanwhile, or it never comes together.
+	wanted := func(s *placement.Slot) {
+		if s.M != nil {
+			s.M.WantedAt = now
+		}
+	}
 	for _, j := range left {
 		if total >= maxRent {
 			break
 		}
 		n := a.wanted(j, use)
-		step := 1
+		boot, fits := a.bootTime(j)
 		if j.Spec.Kind == model.Gang {
-			step = n
-		}
-		for tasks := 0; n > 0 && tasks < 300; tasks, n = tasks+1, n-step {
-			at, where, ok := pr.Find(j, step)
-			if t, fits := a.bootTime(j); fits && total < maxRent && a.worthRenting(j, now, at, ok, now+t, aims, within[j]) {
+			if n == 0 {
+				continue
+			}
+			at, where, ok := pr.Find(j, n, "")
+			if fits && a.worthRenting(j, now, at, ok, now+boot, aims, within[j]) {
 				zone := ""
-				if step > 1 && j.Spec.OneZone {
-					zone = a.gangZone(j, pr, byZone)
+				have := pr.Ready(j, now+boot+5*time.Second)
+				sum := 0
+				for _, k := range have {
+					sum += k
 				}
-				for i := 0; i < step; i++ {
-					if step > 1 && i > 0 {
-						if at2, _, ok2 := pr.Find(j, step); ok2 && at2 <= now+t+5*time.Second {
-							break
-						}
-					}
-					p, found := a.choose(j, zone, byZone)
-					if !found {
+				if j.Spec.OneZone {
+					zone = a.gangZone(j, have, byZone)
+					sum = have[zone]
+				}
+				for ; sum < n; sum++ {
+					if order(j, zone) == nil {
 						break
 					}
-					order(p)
 				}
-				at, where, ok = pr.Find(j, step)
+				at, where, ok = pr.Find(j, n, "")
 			}
-			if !ok {
-				break
+			if ok {
+				for _, s := range where {
+					wanted(s)
+				}
+				pr.Take(j, at, where)
 			}
-			// A gang's first machines are idle until its last is up: they must
-			// not be returned meanwhile, or it never comes together.
-			for _, s := range where {
-				if s.M != nil {
-					s.M.WantedAt = now
+			continue
+		}
+		if n == 0 {
+			continue
+		}
+		q := pr.Queue(j)
+		for tasks := 0; n > 0 && tasks < maxTasks; tasks, n = tasks+1, n-1 {
+			at, ok := q.First()
+			if fits && total < maxRent && a.worthRenting(j, now, at, ok, now+boot, aims, within[j]) {
+				if s := order(j, ""); s != nil {
+					q.Add(s)
 				}
 			}
-			pr.Take(j, at, where)
+			if _, ok = q.First(); !ok {
+				break
+			}
+			wanted(q.Take())
 		}
 	}
 	// Headroom: idle machines that wait for work to come.
-	for ready+coming+total < a.headroom() && total < maxRent {
-		p, ok := a.choose(nil, "", byZone)
-		if !ok {
+	for head := a.headroom(); ready+coming+total < head; {
+		if order(nil, "") == nil {
 			break
 		}
-		order(p)
 	}
 	var ps []pool
 	for p := range need {
@@ -616,14 +637,18 @@
 	}
 	sort.Slice(ps, func(i, j int) bool { return fmt.Sprint(ps[i]) < fmt.Sprint(ps[j]) })
 	for _, p := range ps {
-		a.rent(p, need[p])
+		for n := need[p]; n > 0; n -= mostRented {
+			a.rent(p, min(n, mostRented))
+		}
 	}
 }
 
-func (a *Actor) addNew(pr *placement.Projection, p pool) {
-	if t := a.led.Types[p.typ]; t != nil {
-		pr.Add(&placement.Slot{Type: p.typ, Zone: p.zone, Spot: p.spot, Cap: t.Cap}, a.env.Now()+time.Duration(t.BootS*1.1*float64(time.Second)))
+func (a *Actor) addNew(pr *placement.Projection, p pool) *placement.Slot {
+	t := a.led.Types[p.typ]
+	if t == nil {
+		return nil
 	}
+	return pr.Add(&placement.Slot{Type: p.typ, Zone: p.zone, Spot: p.spot, Cap: t.Cap}, a.env.Now()+time.Duration(t.BootS*1.1*float64(time.Second)))
 }
 
 // wanted is how many tasks of the job want a machine and may have one.
@@ -688,26 +713,21 @@
 	return queued > fresh+a.cfg.Patience
 }
 
-// gangZone is the zone in which a gang is likeliest to come together.
-func (a *Actor) gangZone(j *ledger.Job, pr *placement.Projection, byZone map[string]int) string {
-	count := map[string]int{}
+// gangZone is the zone in which a gang is likeliest to come together: the one
+// with the most machines that could run it soon.
+func (a *Actor) gangZone(j *ledger.Job, have map[string]int, byZone map[string]int) string {
 	var zs []string
 	for _, t := range a.led.Types {
 		for _, z := range t.Zones {
-			if _, ok := count[z]; !ok {
-				count[z] = 0
+			if !slices.Contains(zs, z) {
 				zs = append(zs, z)
 			}
 		}
 	}
 	sort.Strings(zs)
-	for _, s := range pr.Slots {
-		count[s.Zone]++
-	}
 	best := ""
 	for _, z := range zs {
-		p, ok := a.choose(j, z, byZone)
-		if ok && p.zone == z && (best == "" || count[z] > count[best]) {
+		if _, ok := a.choose(j, z, byZone); ok && (best == "" || have[z] > have[best] || have[z] == have[best] && byZone[z] > byZone[best]) {
 			best = z
 		}
 	}
@@ -757,8 +777,10 @@
 	return top, found
 }
 
+// mostRented is how many machines one request may ask for.
+const mostRented = 50
+
 func (a *Actor) rent(p pool, n int) {
-	n = min(n, 50)
 	a.charters++
 	charter := "r-" + strconv.FormatUint(a.token, 10) + "-" + strconv.Itoa(a.charters)
 	a.renting[p] += n
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -92,7 +92,7 @@
 	Known                  bool // type and zone are known
 	Cap                    model.Need
 	Used                   model.Need
-	P                      map[*Placement]struct{}
+	P                      []*Placement // by job and task
 	Session, Seq, Token    uint64
 	Heard                  bool          // has reported in this term
 	LastHeard              time.Duration // last report
@@ -150,6 +150,7 @@
 	token    uint64
 	Jobs     map[string]*Job
 	Machines map[string]*Machine
+	byName   []*Machine // the same, in name order
 	Teams    map[string]*Team
 	Types    map[string]*model.MachineType
 	// Returned has the machines that the cloud says are gone. Their reports
@@ -333,13 +334,25 @@
 func (l *Ledger) Machine(name string) *Machine {
 	m := l.Machines[name]
 	if m == nil {
-		m = &Machine{Name: name, P: map[*Placement]struct{}{}, FirstSeen: l.env.Now(), IdleSince: l.env.Now(),
+		m = &Machine{Name: name, FirstSeen: l.env.Now(), IdleSince: l.env.Now(),
 			Images: map[string]time.Duration{}, ImageGB: map[string]float64{}, Ambiguous: map[string]uint64{}, RentedAt: l.env.Now()}
 		l.Machines[name] = m
+		i := l.place(name)
+		l.byName = append(l.byName, nil)
+		copy(l.byName[i+1:], l.byName[i:])
+		l.byName[i] = m
 	}
 	return m
 }
 
+func (l *Ledger) place(name string) int {
+	return sort.Search(len(l.byName), func(i int) bool { return l.byName[i].Name >= name })
+}
+
+// Sorted lists the machines in name order. Machines may be added or removed
+// only after the caller is through with the list.
+func (l *Ledger) Sorted() []*Machine { return l.byName }
+
 // Describe fills in what a machine is.
 func (l *Ledger) Describe(m *Machine, typ, zone string, spot bool) {
 	m.Type, m.Zone, m.Spot = typ, zone, spot
@@ -356,29 +369,34 @@
 	for _, p := range m.List() {
 		l.Lost(p, why)
 	}
-	delete(l.Machines, m.Name)
+	if l.Machines[m.Name] == m {
+		delete(l.Machines, m.Name)
+		i := l.place(m.Name)
+		// A new list: somebody may be walking through the old one.
+		l.byName = append(append(make([]*Machine, 0, len(l.byName)), l.byName[:i]...), l.byName[i+1:]...)
+	}
 }
 
-// List is the machine's placements in a fixed order.
-func (m *Machine) List() []*Placement {
-	out := make([]*Placement, 0, len(m.P))
-	for p := range m.P {
-		out = append(out, p)
-	}
-	sort.Slice(out, func(a, b int) bool {
-		if out[a].Job.Spec.ID != out[b].Job.Spec.ID {
-			return out[a].Job.Spec.ID < out[b].Job.Spec.ID
-		}
-		return out[a].Task < out[b].Task
+// List is a copy of the machine's placements, by job and task: they may be
+// changed while the caller goes through them.
+func (m *Machine) List() []*Placement { return append([]*Placement(nil), m.P...) }
+
+// find is the place of a job's task among the machine's placements.
+func (m *Machine) find(id string, task int) int {
+	return sort.Search(len(m.P), func(i int) bool {
+		q := m.P[i]
+		return q.Job.Spec.ID > id || (q.Job.Spec.ID == id && q.Task >= task)
 	})
-	return out
 }
 
 func (l *Ledger) occupy(p *Placement) {
 	j := p.Job
 	j.Tasks[p.Task].P = p
 	j.Placed++
-	p.M.P[p] = struct{}{}
+	i := p.M.find(j.Spec.ID, p.Task)
+	p.M.P = append(p.M.P, nil)
+	copy(p.M.P[i+1:], p.M.P[i:])
+	p.M.P[i] = p
 	p.M.Used = p.M.Used.Add(j.Spec.Need)
 	if t := l.Teams[j.Spec.Team]; t != nil {
 		t.Used = t.Used.Add(j.Spec.Need)
@@ -393,7 +411,12 @@
 	p.Gone = true
 	j.Tasks[p.Task].P = nil
 	j.Placed--
-	delete(p.M.P, p)
+	for i := p.M.find(j.Spec.ID, p.Task); i < len(p.M.P); i++ {
+		if p.M.P[i] == p {
+			p.M.P = append(p.M.P[:i], p.M.P[i+1:]...)
+			break
+		}
+	}
 	p.M.Used = p.M.Used.Sub(j.Spec.Need)
 	if len(p.M.P) == 0 {
 		p.M.Used = model.Need{}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,6 +46,9 @@
 	lastPass  time.Duration
 	lastRent  time.Duration
 	lastMoves time.Duration
+	lastLook  time.Duration // for a reason to consolidate
+	lastStops time.Duration
+	looked    map[*ledger.Job]bool // prompt gangs for which room with their image was looked for
 	left      []*ledger.Job
 	holds     map[*ledger.Machine]*placement.Hold
 	aims      *placement.Aims
@@ -185,7 +188,7 @@
 
 func (n *Node) lead(token uint64) {
 	f := &n.set.Facts
-	t := &term{n: n, token: token, holds: map[*ledger.Machine]*placement.Hold{}, lastMoves: -consolidateEvery, aims: placement.NewAims(f.Objectives)}
+	t := &term{n: n, token: token, looked: map[*ledger.Job]bool{}, holds: map[*ledger.Machine]*placement.Hold{}, lastMoves: -consolidateEvery, aims: placement.NewAims(f.Objectives)}
 	t.led = ledger.New(n.env, n.store, token, f.Teams)
 	t.fleet = fleet.New(n.env, t.led, n.store, token, fleet.Config{Cloud: n.set.External.Cloud, RPS: f.Cloud.RPS,
 		ListLag: seconds(f.Cloud.ListLagS), Report: seconds(f.Workers.ReportS), IdleKeep: 15 * time.Second, Patience: 45 * time.Second, Headroom: 0.5})
@@ -233,12 +236,16 @@
 	}
 }
 
+// wake asks for a pass soon. What changes close together is dealt with in one
+// pass, and passes keep a distance that leaves most of the processor to users'
+// and workers' requests however many machines there are.
 func (t *term) wake() {
 	if t.scheduled || t.closed {
 		return
 	}
 	t.scheduled = true
-	t.n.env.After(3*time.Millisecond, func() {
+	wait := max(3*time.Millisecond, t.lastPass+t.passGap()-t.n.env.Now())
+	t.n.env.After(wait, func() {
 		t.scheduled = false
 		if !t.closed {
 			t.pass()
@@ -246,6 +253,24 @@
 	})
 }
 
+// perMachine is what a pass takes of a whole core for each machine, in a bad
+// case, times five: passes then take no more than a fifth of the share.
+const perMachine = 40 * time.Microsecond
+
+func (t *term) passGap() time.Duration {
+	share := t.n.set.Facts.Limits.CPUShare
+	if share <= 0 || share > 1 {
+		share = 1
+	}
+	return min(time.Second, time.Duration(float64(len(t.led.Sorted()))*float64(perMachine)/share))
+}
+
+const (
+	rentEvery = time.Second
+	// Stopping other work for a job that waits is looked at anew this often.
+	stopEvery = 500 * time.Millisecond
+)
+
 // pass places what waits and rents what is missing.
 func (t *term) pass() {
 	now := t.n.env.Now()
@@ -258,18 +283,34 @@
 		t.fleet.Arrived(j, t.aims.Prompt(j), within[j])
 	}
 	v := &placement.View{Now: now, Silent: 3 * seconds(t.n.set.Facts.Workers.ReportS), Holds: t.holds, Aims: t.aims}
+	v.Machines = placement.Candidates(t.led, v)
 	placement.Release(v)
-	for _, j := range placement.Order(t.led, v) {
-		if t.aims.Prompt(j) && j.Spec.Kind == model.Gang && !t.holdsFor(j) {
-			t.evict(j, placement.Clear(t.led, v, j, within[j]))
+	order := placement.Order(t.led, v, within)
+	stops := placement.NewStops(t.led, v)
+	due := now-t.lastStops >= stopEvery
+	for _, j := range order {
+		if !t.aims.Prompt(j) || j.Spec.Kind != model.Gang || t.holdsFor(j) {
+			continue
+		}
+		if due || !t.looked[j] {
+			t.looked[j] = true
+			t.evict(j, stops.Clear(j, within[j]))
 		}
 	}
-	t.left = placement.Run(t.led, v)
+	t.left = placement.Run(t.led, v, order)
 	t.consolidate(v)
-	t.preempt(v, within)
-	if now-t.lastRent >= 500*time.Millisecond {
+	if due {
+		t.lastStops = now
+		t.preempt(v, within)
+	}
+	if now-t.lastRent >= rentEvery {
 		t.lastRent = now
 		t.fleet.Rent(t.left, v, t.aims, within)
+		for j := range t.looked {
+			if !placement.Waiting(j) {
+				delete(t.looked, j)
+			}
+		}
 	}
 }
 
@@ -284,9 +325,10 @@
 
 // preempt makes room for waiting work that is to start promptly.
 func (t *term) preempt(v *placement.View, within map[*ledger.Job]bool) {
+	stops := placement.NewStops(t.led, v)
 	for _, j := range t.left {
-		if !t.holdsFor(j) && (t.aims.Prompt(j) || within[j]) {
-			t.evict(j, placement.Preempt(t.led, v, j, within[j], false))
+		if (t.aims.Prompt(j) || within[j]) && !t.holdsFor(j) {
+			t.evict(j, stops.Preempt(j, within[j], false))
 		}
 	}
 }
@@ -309,10 +351,11 @@
 // but not on one machine. All moves of the machine start together, and what
 // falls free is kept for the job, since a burst would fill it otherwise.
 func (t *term) consolidate(v *placement.View) {
-	if v.Now-t.lastMoves < consolidateEvery || len(t.left) == 0 {
+	if v.Now-t.lastMoves < consolidateEvery || v.Now-t.lastLook < stopEvery || len(t.left) == 0 {
 		return
 	}
-	ms := placement.Candidates(t.led, v)
+	t.lastLook = v.Now
+	ms := v.Machines
 	j := consolidate.Triggered(t.led, v, ms, t.left)
 	if j == nil {
 		return
@@ -353,7 +396,7 @@
 		return false
 	}
 	all, heard := 0, 0
-	for _, m := range t.led.Machines {
+	for _, m := range t.led.Sorted() {
 		if m.Leaving || (!m.Heard && len(m.P) == 0 && m.Listed != "running") {
 			continue
 		}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -2,7 +2,9 @@
 package placement
 
 import (
-	"sort"
+	"cmp"
+	"container/heap"
+	"slices"
 	"time"
 
 	"brooklb/internal/ledger"
@@ -13,6 +15,8 @@
 type View struct {
 	Now    time.Duration
 	Silent time.Duration // a machine not heard of for so long takes nothing new
+	// Machines are those that can take new tasks, in name order.
+	Machines []*ledger.Machine
 	// Holds tells for which job a machine's free room is kept.
 	Holds map[*ledger.Machine]*Hold
 	Aims  *Aims
@@ -28,46 +32,52 @@
 // the least work left. When there is too much work, going by age makes
 // everybody late; the small jobs first keeps the most of them in time. What
 // has waited long counts as smaller, so that nothing starves.
-func Order(l *ledger.Ledger, v *View) []*ledger.Job {
-	var out []*ledger.Job
-	within := Within(l)
+func Order(l *ledger.Ledger, v *View, within map[*ledger.Job]bool) []*ledger.Job {
 	type rank struct {
-		lost bool
-		work float64
+		j      *ledger.Job
+		within bool
+		lost   bool
+		work   float64
 	}
-	ranks := map[*ledger.Job]rank{}
+	var rs []rank
 	for _, j := range l.Order() {
 		if !Waiting(j) {
 			continue
 		}
-		out = append(out, j)
-		r := rank{lost: v.Aims != nil && v.Aims.Lost(j, within[j], v.Now)}
+		in := within[j]
+		r := rank{j: j, within: in, lost: v.Aims != nil && v.Aims.Lost(j, in, v.Now)}
 		n := float64(len(j.Tasks) - j.NDone)
 		size := max(j.Spec.Need.CPUs, j.Spec.Need.GPUs, 1)
 		waited := max(0, v.Now-j.Since).Seconds()
 		r.work = n * size * max(1, j.Spec.EstimateS) / (1 + waited/starve.Seconds())
-		ranks[j] = r
+		rs = append(rs, r)
 	}
-	sort.SliceStable(out, func(a, b int) bool {
-		x, y := out[a], out[b]
-		if x.Spec.Priority != y.Spec.Priority {
-			return x.Spec.Priority > y.Spec.Priority
+	slices.SortStableFunc(rs, func(x, y rank) int {
+		if c := cmp.Compare(y.j.Spec.Priority, x.j.Spec.Priority); c != 0 {
+			return c
 		}
-		if within[x] != within[y] {
-			return within[x]
+		if x.within != y.within {
+			return first(x.within)
 		}
-		p, q := ranks[x], ranks[y]
-		if p.lost != q.lost {
-			return q.lost
+		if x.lost != y.lost {
+			return first(y.lost)
 		}
-		if p.work != q.work {
-			return p.work < q.work
-		}
-		return x.Since < y.Since
+		return cmp.Or(cmp.Compare(x.work, y.work), cmp.Compare(x.j.Since, y.j.Since))
 	})
+	out := make([]*ledger.Job, len(rs))
+	for i := range rs {
+		out[i] = rs[i].j
+	}
 	return out
 }
 
+func first(yes bool) int {
+	if yes {
+		return -1
+	}
+	return 1
+}
+
 // starve is how long a job waits until it counts as half its size.
 const starve = time.Minute
 
@@ -93,27 +103,83 @@
 	return j.Final == ledger.Open && !j.Broken && j.Readable() && j.NDone+j.Placed < len(j.Tasks)
 }
 
-// Run places what can be placed and returns the jobs that still wait.
-func Run(l *ledger.Ledger, v *View) []*ledger.Job {
+// Run places what can be placed and returns the jobs that still wait, both in
+// the given order.
+func Run(l *ledger.Ledger, v *View, order []*ledger.Job) []*ledger.Job {
 	var left []*ledger.Job
-	machines := Candidates(l, v)
-	for _, j := range Order(l, v) {
-		if !placeJob(l, v, machines, j) {
+	r := newRoom(v)
+	for _, j := range order {
+		if !placeJob(l, v, r, j) {
 			left = append(left, j)
 		}
 	}
 	return left
 }
 
+// room is what a run of placements knows of the machines: those with anything
+// left, and which needs were found to fit nowhere. Most machines of a busy
+// fleet are full, and most jobs that wait are alike, so that looking at all
+// machines for each of them would take most of a small processor.
+type room struct {
+	ms     []*ledger.Machine
+	failed []miss
+}
+
+// miss is a need that no allowed machine had room for.
+type miss struct {
+	like *model.Spec
+	need model.Need
+	n    int
+}
+
+func newRoom(v *View) *room {
+	r := &room{}
+	for _, m := range v.Machines {
+		if f := m.Free(); f.CPUs > 1e-6 || f.GPUs > 1e-6 {
+			r.ms = append(r.ms, m)
+		}
+	}
+	return r
+}
+
+// drop forgets machines that have become full.
+func (r *room) drop(full []*ledger.Machine) {
+	for _, m := range full {
+		if f := m.Free(); f.CPUs <= 1e-6 || (m.Cap.GPUs > 0 && f.GPUs <= 1e-6 && f.CPUs <= 1e-6) {
+			if i, ok := slices.BinarySearchFunc(r.ms, m, func(a, b *ledger.Machine) int { return cmp.Compare(a.Name, b.Name) }); ok {
+				r.ms = slices.Delete(r.ms, i, i+1)
+			}
+		}
+	}
+}
+
+// hopeless reports whether something alike that needs no more, and no more at
+// once, has found no room.
+func (r *room) hopeless(s *model.Spec, n int) bool {
+	for _, f := range r.failed {
+		if f.n <= n && f.need.Fits(s.Need) && Alike(f.like, s) {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *room) miss(s *model.Spec, n int) { r.failed = append(r.failed, miss{s, s.Need, n}) }
+
+// Alike reports whether two jobs may use the same machines.
+func Alike(a, b *model.Spec) bool {
+	return a.Spot == b.Spot && a.Zone == b.Zone && a.OneZone == b.OneZone && !a.Spread && !b.Spread &&
+		(a.Types == nil) == (b.Types == nil) && slices.Equal(a.Types, b.Types)
+}
+
 // Candidates lists the machines that can take new tasks, in name order.
 func Candidates(l *ledger.Ledger, v *View) []*ledger.Machine {
 	var out []*ledger.Machine
-	for _, m := range l.Machines {
+	for _, m := range l.Sorted() {
 		if Usable(m, v) {
 			out = append(out, m)
 		}
 	}
-	sort.Slice(out, func(a, b int) bool { return out[a].Name < out[b].Name })
 	return out
 }
 
@@ -153,21 +219,29 @@
 	return !j.Spec.Spread || count[zone] < j.Spec.MaxPerZone()
 }
 
-func placeJob(l *ledger.Ledger, v *View, machines []*ledger.Machine, j *ledger.Job) bool {
+func placeJob(l *ledger.Ledger, v *View, r *room, j *ledger.Job) bool {
 	team := l.Teams[j.Spec.Team]
 	if team == nil {
 		j.Waits = "its team is not in the settings"
 		return false
 	}
 	if j.Spec.Kind == model.Gang {
-		return placeGang(l, v, machines, j, team)
+		return placeGang(l, v, r, j, team)
 	}
 	count, ok := zones(j)
 	if !ok {
 		j.Waits = "the zone of one of its machines isn't known yet"
 		return false
 	}
-	all := true
+	s := j.Spec
+	if r.hopeless(s, 1) && !v.holdsFor(j) && !wants(j) {
+		j.Waits = "no machine has room"
+		return false
+	}
+	all, plain := true, true
+	var h choices
+	built := false
+	defer func() { r.drop(h.taken) }()
 	for i := range j.Tasks {
 		t := &j.Tasks[i]
 		if t.Done || t.P != nil {
@@ -178,39 +252,112 @@
 			all = false
 			continue
 		}
-		if !team.Within(j.Spec.Need) {
+		if !team.Within(s.Need) {
 			j.Waits = "the team's limit is used up"
 			return false
 		}
-		m := best(l, v, machines, j, t, count)
+		if w := t.Want; w != nil && v.Now < t.WantUntil && Usable(w, v) && Allowed(j, w) && s.Need.Fits(w.Free()) && zoneAllows(j, count, w.Zone) {
+			l.Plan(j, i, t.Attempt+1, w) // its move was planned with all others of its machine
+			count[w.Zone]++
+			continue
+		}
+		if !built {
+			built = true
+			for _, m := range r.ms {
+				if s.Need.Fits(m.Free()) && Allowed(j, m) && v.mayTake(j, m) {
+					h.cs = append(h.cs, choice{m, Score(l, v, j, m)})
+				}
+			}
+			heap.Init(&h)
+		}
+		plain = plain && t.Avoid == nil
+		m := h.next(l, v, j, t, count)
 		if m == nil {
 			j.Waits = "no machine has room"
+			if plain {
+				r.miss(s, 1)
+			}
 			return false
 		}
 		l.Plan(j, i, t.Attempt+1, m)
 		count[m.Zone]++
+		h.taken = append(h.taken, m)
+		if s.Need.Fits(m.Free()) {
+			heap.Push(&h, choice{m, Score(l, v, j, m)})
+		}
 	}
 	return all
 }
 
-func best(l *ledger.Ledger, v *View, machines []*ledger.Machine, j *ledger.Job, t *ledger.Task, count map[string]int) *ledger.Machine {
-	if w := t.Want; w != nil && v.Now < t.WantUntil && Usable(w, v) && Allowed(j, w) && j.Spec.Need.Fits(w.Free()) && zoneAllows(j, count, w.Zone) {
-		return w // its move was planned with all others of its machine
+// wants reports whether a task of the job is being moved somewhere.
+func wants(j *ledger.Job) bool {
+	for i := range j.Tasks {
+		if j.Tasks[i].Want != nil && j.Tasks[i].P == nil && !j.Tasks[i].Done {
+			return true
+		}
 	}
-	var top *ledger.Machine
-	topScore := 0.0
-	for _, m := range machines {
-		if !Allowed(j, m) || !j.Spec.Need.Fits(m.Free()) || m == t.Avoid || !zoneAllows(j, count, m.Zone) {
-			continue
+	return false
+}
+
+// mayTake reports whether the machine's room isn't kept for another job.
+func (v *View) mayTake(j *ledger.Job, m *ledger.Machine) bool {
+	h := v.Holds[m]
+	return h == nil || h.Job == j
+}
+
+func (v *View) holdsFor(j *ledger.Job) bool {
+	for _, h := range v.Holds {
+		if h.Job == j {
+			return true
 		}
-		if h := v.Holds[m]; h != nil && h.Job != j {
-			continue
+	}
+	return false
+}
+
+// choices are the machines that have room for a task of a job, the best first.
+type choices struct {
+	cs    []choice
+	taken []*ledger.Machine
+}
+
+type choice struct {
+	m *ledger.Machine
+	s float64
+}
+
+func (h *choices) Len() int { return len(h.cs) }
+func (h *choices) Less(a, b int) bool {
+	if h.cs[a].s != h.cs[b].s {
+		return h.cs[a].s > h.cs[b].s
+	}
+	return h.cs[a].m.Name < h.cs[b].m.Name
+}
+func (h *choices) Swap(a, b int) { h.cs[a], h.cs[b] = h.cs[b], h.cs[a] }
+func (h *choices) Push(x any)    { h.cs = append(h.cs, x.(choice)) }
+func (h *choices) Pop() any {
+	x := h.cs[len(h.cs)-1]
+	h.cs = h.cs[:len(h.cs)-1]
+	return x
+}
+
+// next takes the best machine for the task out of the heap. Those that only
+// this task must not use are put back.
+func (h *choices) next(l *ledger.Ledger, v *View, j *ledger.Job, t *ledger.Task, count map[string]int) *ledger.Machine {
+	var back []choice
+	defer func() {
+		for _, c := range back {
+			heap.Push(h, c)
 		}
-		if s := Score(l, v, j, m); top == nil || s > topScore {
-			top, topScore = m, s
+	}()
+	for len(h.cs) > 0 {
+		c := heap.Pop(h).(choice)
+		if c.m == t.Avoid || !zoneAllows(j, count, c.m.Zone) {
+			back = append(back, c)
+			continue
 		}
+		return c.m
 	}
-	return top
+	return nil
 }
 
 // Score rates a machine for a task of the job: seconds saved until it runs,
@@ -221,22 +368,30 @@
 	if _, ok := m.Images[j.Spec.Image]; !ok && mt != nil && mt.FetchGBs > 0 {
 		// Others that fetch share the rate; one that fetches the same image
 		// has a part of it already.
-		others := map[string]bool{}
+		others := 0
 		same := false
-		for p := range m.P {
-			if p.Phase == model.Fetching || !p.Seen {
-				if p.Job.Spec.Image == j.Spec.Image {
-					same = true
-				} else {
-					others[p.Job.Spec.Image] = true
-				}
+		for i, p := range m.P {
+			if p.Phase != model.Fetching && p.Seen {
+				continue
+			}
+			image := p.Job.Spec.Image
+			if image == j.Spec.Image {
+				same = true
+				continue
+			}
+			counted := false
+			for _, q := range m.P[:i] {
+				counted = counted || (q.Phase == model.Fetching || !q.Seen) && q.Job.Spec.Image == image
+			}
+			if !counted {
+				others++
 			}
 		}
 		f := j.Spec.ImageGB / mt.FetchGBs
 		if same {
 			f *= 0.6
 		}
-		s -= f * float64(1+len(others))
+		s -= f * float64(1+others)
 	}
 	// Fill machines that are in use before empty ones.
 	used := 0.0
@@ -255,7 +410,7 @@
 	return s
 }
 
-func placeGang(l *ledger.Ledger, v *View, machines []*ledger.Machine, j *ledger.Job, team *ledger.Team) bool {
+func placeGang(l *ledger.Ledger, v *View, r *room, j *ledger.Job, team *ledger.Team) bool {
 	if j.Placed > 0 {
 		j.Waits = "its last attempt isn't gone yet"
 		return false
@@ -277,20 +432,17 @@
 		j.Waits = "the team's limit is used up"
 		return false
 	}
-	zs := []string{""}
-	if j.Spec.OneZone {
-		zs = zonesOf(machines)
-	}
-	var top []*ledger.Machine
-	topScore := 0.0
-	for _, z := range zs {
-		pick, score := pickGang(l, v, machines, j, z, n)
-		if pick != nil && (top == nil || score > topScore) {
-			top, topScore = pick, score
-		}
+	const waits = "not enough machines have room at once"
+	if r.hopeless(j.Spec, n) && !v.holdsFor(j) {
+		j.Waits = waits
+		return false
 	}
+	top, plain := pickGang(l, v, r.ms, j, n)
 	if top == nil {
-		j.Waits = "not enough machines have room at once"
+		if plain {
+			r.miss(j.Spec, n)
+		}
+		j.Waits = waits
 		return false
 	}
 	k := 0
@@ -300,28 +452,13 @@
 			k++
 		}
 	}
+	r.drop(top)
 	return true
 }
 
-func zonesOf(machines []*ledger.Machine) []string {
-	var zs []string
-	seen := map[string]bool{}
-	for _, m := range machines {
-		if !seen[m.Zone] {
-			seen[m.Zone] = true
-			zs = append(zs, m.Zone)
-		}
-	}
-	sort.Strings(zs)
-	return zs
-}
-
-// waitsForHold says that room is being made for the job on machines that have
-// its image, so that others aren't worth a fetch.
-func waitsForHold(v *View, j *ledger.Job, m *ledger.Machine) bool {
-	if _, ok := m.Images[j.Spec.Image]; ok || v.Holds[m] != nil {
-		return false
-	}
+// warmHold says that room is being made for the job on machines that have its
+// image, so that others aren't worth a fetch.
+func (v *View) warmHold(j *ledger.Job) bool {
 	for _, h := range v.Holds {
 		if h.Job == j && h.Warm {
 			return true
@@ -330,47 +467,69 @@
 	return false
 }
 
-// pickGang finds machines for n tasks of a gang, all in the zone if one is
-// named. The score is that of the slowest.
-func pickGang(l *ledger.Ledger, v *View, machines []*ledger.Machine, j *ledger.Job, zone string, n int) ([]*ledger.Machine, float64) {
-	type cand struct {
-		m *ledger.Machine
-		s float64
-	}
-	var cs []cand
-	avoid := map[*ledger.Machine]bool{}
+// pickGang finds machines for n tasks of a gang, all in one zone if the job
+// asks for that: the zone where the slowest of them is fastest. plain says that
+// what was left out was so for lack of room, not for this job alone.
+func pickGang(l *ledger.Ledger, v *View, machines []*ledger.Machine, j *ledger.Job, n int) (out []*ledger.Machine, plain bool) {
+	plain = true
+	var avoid []*ledger.Machine
 	for i := range j.Tasks {
 		if a := j.Tasks[i].Avoid; a != nil {
-			avoid[a] = true
+			avoid = append(avoid, a)
 		}
 	}
+	warm := v.warmHold(j)
+	var fits []*ledger.Machine
+	slots := map[string]int{}
 	for _, m := range machines {
-		if (zone != "" && m.Zone != zone) || !Allowed(j, m) || !j.Spec.Need.Fits(m.Free()) || avoid[m] {
+		free := m.Free()
+		if !j.Spec.Need.Fits(free) || !Allowed(j, m) || !v.mayTake(j, m) {
 			continue
 		}
-		if h := v.Holds[m]; h != nil && h.Job != j {
-			continue
+		cold := false
+		if warm && v.Holds[m] == nil {
+			_, has := m.Images[j.Spec.Image]
+			cold = !has
 		}
-		if waitsForHold(v, j, m) {
+		if cold || slices.Contains(avoid, m) {
+			plain = false
 			continue
 		}
-		cs = append(cs, cand{m, Score(l, v, j, m)})
+		fits = append(fits, m)
+		for j.Spec.Need.Fits(free) && slots[m.Zone] < n {
+			slots[m.Zone]++
+			free = free.Sub(j.Spec.Need)
+			if j.Spec.Need == (model.Need{}) {
+				break
+			}
+		}
 	}
-	sort.SliceStable(cs, func(a, b int) bool { return cs[a].s > cs[b].s })
-	var out []*ledger.Machine
+	var cs []choice
+	for _, m := range fits {
+		// Machines are rated only where the gang can come together.
+		if !j.Spec.OneZone || slots[m.Zone] >= n {
+			cs = append(cs, choice{m, Score(l, v, j, m)})
+		}
+	}
+	slices.SortStableFunc(cs, func(a, b choice) int { return cmp.Compare(b.s, a.s) })
+	picks := map[string][]*ledger.Machine{}
 	count := map[string]int{}
-	score := 0.0
 	for _, c := range cs {
+		z := ""
+		if j.Spec.OneZone {
+			z = c.m.Zone
+		}
 		free := c.m.Free()
-		for len(out) < n && j.Spec.Need.Fits(free) && zoneAllows(j, count, c.m.Zone) {
+		for j.Spec.Need.Fits(free) && (j.Spec.OneZone || zoneAllows(j, count, c.m.Zone)) {
 			free = free.Sub(j.Spec.Need)
-			out = append(out, c.m)
+			picks[z] = append(picks[z], c.m)
 			count[c.m.Zone]++
-			score = c.s
-		}
-		if len(out) == n {
-			return out, score
+			// They come in the order of their rating: the first zone that is
+			// complete has the best slowest machine.
+			if len(picks[z]) == n {
+				return picks[z], plain
+			}
 		}
 	}
-	return nil, 0
+	return nil, plain
 }
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -1,7 +1,8 @@
 package placement
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 
 	"brooklb/internal/ledger"
@@ -81,10 +82,68 @@
 	return over
 }
 
+// Stops looks for tasks to stop, for several jobs in one go. What a machine
+// could give up is found out once for all of them.
+type Stops struct {
+	l      *ledger.Ledger
+	v      *View
+	on     map[*ledger.Machine]*stoppable
+	failed []noStop
+}
+
+// stoppable is what a machine could give up, whoever asks.
+type stoppable struct {
+	free    model.Need // with what is being stopped already
+	victims []victim   // by loss
+}
+
+// noStop is a request for which nothing could be stopped.
+type noStop struct {
+	j      *ledger.Job
+	n      int
+	within bool
+	image  string
+}
+
+// NewStops begins a round of Preempt and Clear on a view.
+func NewStops(l *ledger.Ledger, v *View) *Stops {
+	return &Stops{l: l, v: v, on: map[*ledger.Machine]*stoppable{}}
+}
+
+func (st *Stops) of(m *ledger.Machine) *stoppable {
+	if s := st.on[m]; s != nil {
+		return s
+	}
+	s := &stoppable{free: m.Free()}
+	for _, p := range m.P {
+		if p.Stopping {
+			s.free = s.free.Add(p.Job.Spec.Need)
+		} else if c, ok := loss(p, st.v.Now); ok {
+			s.victims = append(s.victims, victim{p, c})
+		}
+	}
+	slices.SortStableFunc(s.victims, func(a, b victim) int { return cmp.Compare(a.loss, b.loss) })
+	st.on[m] = s
+	return s
+}
+
+// hopeless reports whether the same was asked for in vain by a job that could
+// stop as much and needs no more.
+func (st *Stops) hopeless(j *ledger.Job, n int, within bool, image string) bool {
+	for _, f := range st.failed {
+		if f.n <= n && f.within == within && f.image == image && f.j.Spec.Priority >= j.Spec.Priority && f.j.Spec.Team == j.Spec.Team &&
+			f.j.Spec.Kind == j.Spec.Kind && f.j.Spec.Need.Fits(j.Spec.Need) && Alike(f.j.Spec, j.Spec) {
+			return true
+		}
+	}
+	return false
+}
+
 // Preempt makes room for a job that could not be placed by stopping what loses
 // least. It returns the tasks to stop and holds their machines for the job, or
 // nil if it can't be done. warm asks for machines that have the job's image.
-func Preempt(l *ledger.Ledger, v *View, j *ledger.Job, within, warm bool) []*ledger.Placement {
+func (st *Stops) Preempt(j *ledger.Job, within, warm bool) []*ledger.Placement {
+	l, v := st.l, st.v
 	s := j.Spec
 	team := l.Teams[s.Team]
 	n := len(j.Tasks) - j.NDone - j.Placed
@@ -103,6 +162,13 @@
 	if n == 0 {
 		return nil
 	}
+	image := ""
+	if warm {
+		image = s.Image
+	}
+	if st.hopeless(j, n, within, image) {
+		return nil
+	}
 	type option struct {
 		m     *ledger.Machine
 		slots int
@@ -110,39 +176,41 @@
 		cost  float64
 	}
 	byZone := map[string][]option{}
+	slots := map[string]int{}
 	var zs []string
-	for _, m := range Candidates(l, v) {
-		if !Allowed(j, m) {
+	var vs []victim
+	for _, m := range v.Machines {
+		if !Allowed(j, m) || !v.mayTake(j, m) {
 			continue
 		}
-		if h := v.Holds[m]; h != nil && h.Job != j {
+		if _, ok := m.Images[s.Image]; warm && !ok {
 			continue
 		}
-		if _, ok := m.Images[s.Image]; warm && !ok {
+		on := st.of(m)
+		free := on.free
+		if len(on.victims) == 0 && !s.Need.Fits(free) {
 			continue
 		}
-		var vs []victim
-		free := m.Free()
-		for _, p := range m.List() {
-			if p.Stopping {
-				free = free.Add(p.Job.Spec.Need)
-				continue
-			}
-			if c, ok := loss(p, v.Now); ok && mayStop(l, j, within, p) {
-				if p.Job.Spec.Priority >= s.Priority {
+		vs = vs[:0]
+		equal := false
+		for _, x := range on.victims {
+			if mayStop(l, j, within, x.p) {
+				if x.p.Job.Spec.Priority >= s.Priority {
 					// It waits for the same kind of room then: the last resort.
-					c += equalPenalty
+					x.loss += equalPenalty
+					equal = true
 				}
-				vs = append(vs, victim{p, c})
+				vs = append(vs, x)
 			}
 		}
-		sort.SliceStable(vs, func(a, b int) bool { return vs[a].loss < vs[b].loss })
+		if equal {
+			slices.SortStableFunc(vs, func(a, b victim) int { return cmp.Compare(a.loss, b.loss) })
+		}
 		o := option{m: m}
-		for len(vs) > 0 && !s.Need.Fits(free) {
-			free = free.Add(vs[0].p.Job.Spec.Need)
-			o.stop = append(o.stop, vs[0].p)
-			o.cost += vs[0].loss
-			vs = vs[1:]
+		for i := 0; i < len(vs) && !s.Need.Fits(free); i++ {
+			free = free.Add(vs[i].p.Job.Spec.Need)
+			o.stop = append(o.stop, vs[i].p)
+			o.cost += vs[i].loss
 		}
 		if !s.Need.Fits(free) {
 			continue
@@ -165,32 +233,36 @@
 			zs = append(zs, z)
 		}
 		byZone[z] = append(byZone[z], o)
+		slots[z] += o.slots
 	}
-	sort.Strings(zs)
+	slices.Sort(zs)
 	var best []option
 	bestCost := 0.0
 	for _, z := range zs {
+		if slots[z] < n && s.Kind == model.Gang {
+			continue
+		}
 		os := byZone[z]
-		sort.SliceStable(os, func(a, b int) bool {
-			return os[a].cost/float64(os[a].slots) < os[b].cost/float64(os[b].slots)
+		slices.SortStableFunc(os, func(a, b option) int {
+			return cmp.Compare(a.cost/float64(a.slots), b.cost/float64(b.slots))
 		})
 		var pick []option
-		slots, cost := 0, 0.0
+		got, cost := 0, 0.0
 		for _, o := range os {
-			if slots >= n {
+			if got >= n {
 				break
 			}
 			pick = append(pick, o)
-			slots += o.slots
+			got += o.slots
 			cost += o.cost
 		}
-		if slots < n && s.Kind == model.Gang {
-			continue
-		}
 		if len(pick) > 0 && (best == nil || cost < bestCost) {
 			best, bestCost = pick, cost
 		}
 	}
+	if best == nil {
+		st.failed = append(st.failed, noStop{j, n, within, image})
+	}
 	var out []*ledger.Placement
 	for _, o := range best {
 		v.Holds[o.m] = &Hold{Job: j, Until: v.Now + holdFor, Warm: warm}
@@ -211,7 +283,8 @@
 // Clear stops lesser work on machines that have the job's image when fetching
 // it to a free machine would take longer than the aim allows: a fetch can
 // outlast the aim by itself. It returns the tasks to stop.
-func Clear(l *ledger.Ledger, v *View, j *ledger.Job, within bool) []*ledger.Placement {
+func (st *Stops) Clear(j *ledger.Job, within bool) []*ledger.Placement {
+	l, v := st.l, st.v
 	if j.Placed > 0 || v.Aims == nil {
 		return nil
 	}
@@ -226,14 +299,14 @@
 		return nil
 	}
 	fetch := time.Duration(0)
-	free := pick(l, v, j)
+	free, _ := pickGang(l, v, v.Machines, j, len(j.Tasks)-j.NDone)
 	for _, m := range free {
 		fetch = max(fetch, fetchTime(l, j, m))
 	}
 	if free != nil && fetch < left {
 		return nil
 	}
-	return Preempt(l, v, j, within, true)
+	return st.Preempt(j, within, true)
 }
 
 func fetchTime(l *ledger.Ledger, j *ledger.Job, m *ledger.Machine) time.Duration {
@@ -243,20 +316,3 @@
 	}
 	return time.Duration(j.Spec.ImageGB / t.FetchGBs * float64(time.Second))
 }
-
-// pick is where a gang would go now.
-func pick(l *ledger.Ledger, v *View, j *ledger.Job) []*ledger.Machine {
-	ms := Candidates(l, v)
-	zs := []string{""}
-	if j.Spec.OneZone {
-		zs = zonesOf(ms)
-	}
-	var top []*ledger.Machine
-	best := 0.0
-	for _, z := range zs {
-		if p, s := pickGang(l, v, ms, j, z, len(j.Tasks)-j.NDone); p != nil && (top == nil || s > best) {
-			top, best = p, s
-		}
-	}
-	return top
-}
--- a/internal/placement/project.go
+++ b/internal/placement/project.go
@@ -1,6 +1,9 @@
 package placement
 
 import (
+	"cmp"
+	"container/heap"
+	"slices"
 	"sort"
 	"time"
 
@@ -53,26 +56,37 @@
 // NewProjection takes a snapshot of the machines in use.
 func NewProjection(l *ledger.Ledger, v *View) *Projection {
 	pr := &Projection{now: v.Now, types: l.Types}
-	for _, m := range Candidates(l, v) {
-		s := &Slot{M: m, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Cap: m.Cap, free: m.Free(), at: v.Now}
+	n := 0
+	for _, m := range v.Machines {
+		n += len(m.P)
+	}
+	slots := make([]Slot, len(v.Machines))
+	ends := make([]end, 0, n)
+	pr.Slots = make([]*Slot, 0, len(v.Machines)+16)
+	for i, m := range v.Machines {
+		s := &slots[i]
+		*s = Slot{M: m, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Cap: m.Cap, free: m.Free(), at: v.Now}
 		t := l.Types[m.Type]
-		for _, p := range m.List() {
+		k := len(ends)
+		for _, p := range m.P {
 			fetch := 0.0
 			if t != nil && t.FetchGBs > 0 {
 				fetch = p.Job.Spec.ImageGB / t.FetchGBs
 			}
-			s.ends = append(s.ends, end{v.Now + remaining(p, v.Now, fetch), p.Job.Spec.Need})
+			ends = append(ends, end{v.Now + remaining(p, v.Now, fetch), p.Job.Spec.Need})
 		}
-		sort.Slice(s.ends, func(a, b int) bool { return s.ends[a].at < s.ends[b].at })
+		s.ends = ends[k:len(ends):len(ends)]
+		slices.SortFunc(s.ends, func(a, b end) int { return cmp.Compare(a.at, b.at) })
 		pr.Slots = append(pr.Slots, s)
 	}
 	return pr
 }
 
 // Add puts in a machine that will be up at a time.
-func (pr *Projection) Add(s *Slot, at time.Duration) {
+func (pr *Projection) Add(s *Slot, at time.Duration) *Slot {
 	s.at, s.free = max(at, pr.now), s.Cap
 	pr.Slots = append(pr.Slots, s)
+	return s
 }
 
 func (s *Slot) allows(j *ledger.Job) bool {
@@ -124,35 +138,103 @@
 	return 0
 }
 
-// Find says when n tasks of the job would run, n at once for a gang and one
-// for the others, and where; ok is false if they never would.
-func (pr *Projection) Find(j *ledger.Job, n int) (at time.Duration, where []*Slot, ok bool) {
-	type cand struct {
-		s    *Slot
-		t, r time.Duration
+// Queue has the slots a job may use, the one where a task would run first on
+// top.
+type Queue struct {
+	pr *Projection
+	j  *ledger.Job
+	h  []ready
+}
+
+type ready struct {
+	s  *Slot
+	at time.Duration // the task would run then
+}
+
+// Queue lists where single tasks of the job could run.
+func (pr *Projection) Queue(j *ledger.Job) *Queue {
+	q := &Queue{pr: pr, j: j, h: make([]ready, 0, len(pr.Slots))}
+	for _, s := range pr.Slots {
+		q.put(s)
+	}
+	heap.Init(q)
+	return q
+}
+
+func (q *Queue) put(s *Slot) bool {
+	if !s.allows(q.j) {
+		return false
+	}
+	t, ok := s.earliest(q.j.Spec.Need)
+	if ok {
+		q.h = append(q.h, ready{s, t + q.pr.fetch(q.j, s)})
+	}
+	return ok
+}
+
+// Len and the next four methods are heap's.
+func (q *Queue) Len() int           { return len(q.h) }
+func (q *Queue) Less(a, b int) bool { return q.h[a].at < q.h[b].at }
+func (q *Queue) Swap(a, b int)      { q.h[a], q.h[b] = q.h[b], q.h[a] }
+
+// Push does nothing: put has appended already.
+func (q *Queue) Push(any) {}
+
+// Pop takes the last one off.
+func (q *Queue) Pop() any {
+	x := q.h[len(q.h)-1]
+	q.h = q.h[:len(q.h)-1]
+	return x
+}
+
+// Add puts in a slot that was not there before.
+func (q *Queue) Add(s *Slot) {
+	if q.put(s) {
+		heap.Push(q, nil)
+	}
+}
+
+// First says when the next task would run; ok is false if it never would.
+func (q *Queue) First() (at time.Duration, ok bool) {
+	if len(q.h) == 0 {
+		return 0, false
+	}
+	return q.h[0].at, true
+}
+
+// Take books a task on the first slot and returns it.
+func (q *Queue) Take() *Slot {
+	r := q.h[0]
+	r.s.take(r.at, q.j.Spec.Need, runs(q.j))
+	if t, ok := r.s.earliest(q.j.Spec.Need); ok {
+		q.h[0].at = t + q.pr.fetch(q.j, r.s)
+		heap.Fix(q, 0)
+	} else {
+		heap.Pop(q)
 	}
-	var cs []cand
+	return r.s
+}
+
+func runs(j *ledger.Job) time.Duration {
+	if j.Spec.Kind == model.Service {
+		return time.Hour
+	}
+	return time.Duration(j.Spec.EstimateS * float64(time.Second))
+}
+
+// Find says when n tasks of a gang would run at once, and where; ok is false if
+// they never would. Zone "" leaves the zone open.
+func (pr *Projection) Find(j *ledger.Job, n int, zone string) (at time.Duration, where []*Slot, ok bool) {
+	var cs []ready
 	for _, s := range pr.Slots {
-		if !s.allows(j) {
+		if !s.allows(j) || (zone != "" && s.Zone != zone) {
 			continue
 		}
 		if t, ok := s.earliest(j.Spec.Need); ok {
-			cs = append(cs, cand{s, t, t + pr.fetch(j, s)})
-		}
-	}
-	if len(cs) == 0 {
-		return 0, nil, false
-	}
-	if n == 1 {
-		best := 0
-		for i := range cs {
-			if cs[i].r < cs[best].r {
-				best = i
-			}
+			cs = append(cs, ready{s, t + pr.fetch(j, s)})
 		}
-		return cs[best].r, []*Slot{cs[best].s}, true
 	}
-	sort.SliceStable(cs, func(a, b int) bool { return cs[a].r < cs[b].r })
+	slices.SortStableFunc(cs, func(a, b ready) int { return cmp.Compare(a.at, b.at) })
 	byZone := map[string][]*Slot{}
 	for _, c := range cs {
 		z := ""
@@ -162,19 +244,30 @@
 		// How many fit at once is left out: gangs mostly fill their machines.
 		byZone[z] = append(byZone[z], c.s)
 		if len(byZone[z]) == n {
-			return c.r, byZone[z], true
+			return c.at, byZone[z], true
 		}
 	}
 	return 0, nil, false
 }
 
+// Ready counts, by zone, the slots on which a task of the job would run by the
+// given time.
+func (pr *Projection) Ready(j *ledger.Job, by time.Duration) map[string]int {
+	out := map[string]int{}
+	for _, s := range pr.Slots {
+		if !s.allows(j) {
+			continue
+		}
+		if t, ok := s.earliest(j.Spec.Need); ok && t+pr.fetch(j, s) <= by {
+			out[s.Zone]++
+		}
+	}
+	return out
+}
+
 // Take books what Find found.
 func (pr *Projection) Take(j *ledger.Job, at time.Duration, where []*Slot) {
-	run := time.Duration(j.Spec.EstimateS * float64(time.Second))
-	if j.Spec.Kind == model.Service {
-		run = time.Hour
-	}
 	for _, s := range where {
-		s.take(at, j.Spec.Need, run)
+		s.take(at, j.Spec.Need, runs(j))
 	}
 }
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -461,8 +461,7 @@
 // workers' leases have surely run out.
 func (a *Actor) Tick() {
 	now := a.env.Now()
-	for _, name := range a.names() {
-		m := a.led.Machines[name]
+	for _, m := range a.led.Sorted() {
 		if a.stuck(m) && a.OnStuck != nil {
 			a.OnStuck()
 			return
@@ -491,19 +490,10 @@
 		return false
 	}
 	now := a.env.Now()
-	for p := range m.P {
+	for _, p := range m.P {
 		if p.Stopping && !p.Seen && now-p.StopSince > stuckFor && now-m.LastHeard < 2*a.cfg.Report && a.mayArrive(m, p) {
 			return true
 		}
 	}
 	return false
 }
-
-func (a *Actor) names() []string {
-	out := make([]string, 0, len(a.led.Machines))
-	for n := range a.led.Machines {
-		out = append(out, n)
-	}
-	sort.Strings(out)
-	return out
-}
