Write what people wait for first; chunks by the value limit; budgets by the number of nodes

Each of six waiting nodes has 8 requests a second; its watch took up to 6.7 of them, and a reserve reckoned for three nodes kept users from the rest. Excluded: the state service's own limits (6 requests refused). Change: ends of jobs first and as one change, then starts by priority, then marks that only spare work after a failure, then deletions; the last two only from the spare half of the budget or after 10 s. Chunks of ended jobs that a crash left behind are deleted by the next leader. Chunks hold what the value limit allows (format 2; format 1 is read). Watches and reads keep pauses by the node's share; reads that come close together are asked together. A machine isn't returned while its worker holds results that are not durable.

--- a/internal/actor/actor.go
+++ b/internal/actor/actor.go
@@ -157,3 +157,11 @@
 	b.level -= n
 	return true
 }
+
+// Level is how much could be taken now.
+func (b *Bucket) Level(now time.Duration) float64 {
+	return min(b.burst, b.level+b.rate*(now-b.last).Seconds())
+}
+
+// Burst is the most that Level can be.
+func (b *Bucket) Burst() float64 { return b.burst }
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -165,7 +165,7 @@
 		return
 	}
 	nonce := fmt.Sprintf("%x", a.env.Rand().Uint64())
-	rec := ledger.NewRecord(s, a.env.Wall().UnixMilli(), nonce)
+	rec := ledger.NewRecord(s, a.env.Wall().UnixMilli(), nonce, ledger.ChunkTasks(a.store.Config().ValueBytes))
 	t := wire.Txn{When: []wire.Cond{{Path: key}}, Apply: []wire.Change{{Write: key, Value: rec.Encode()}}}
 	if len(t.Apply[0].Value) > a.store.Config().ValueBytes {
 		reply(refuse(400, 0, "the description is too long"))
@@ -254,7 +254,7 @@
 			done, running, st.Why, ok = a.Live(id)
 		}
 		if !ok {
-			done, running, st.Why = a.count(id, rec.Tasks)
+			done, running, st.Why = a.count(id, rec.Chunks())
 		}
 		st.Phase = wire.JobPending
 		if running > 0 {
@@ -264,8 +264,8 @@
 	reply(httpx.Response{Status: 200, Body: wire.Encode(st)})
 }
 
-func (a *Actor) count(id string, tasks int) (done, running int, why string) {
-	for n := 0; n*ledger.ChunkTasks < tasks; n++ {
+func (a *Actor) count(id string, chunks int) (done, running int, why string) {
+	for n := range chunks {
 		key := ledger.ChunkKey(id, n)
 		if it, ok := a.store.Peek(key); ok {
 			d, r, w, err := ledger.CountChunk(key, it.Value)
--- a/internal/consolidate/consolidate_test.go
+++ b/internal/consolidate/consolidate_test.go
@@ -60,7 +60,7 @@
 }
 
 func (w *world) jobOf(s model.Spec) *ledger.Job {
-	rec := ledger.NewRecord(&s, 0, "")
+	rec := ledger.NewRecord(&s, 0, "", 48)
 	w.l.JobEvent(ledger.JobKey(s.ID), &statestore.Item{Value: rec.Encode(), Stamp: uint64(w.n)})
 	return w.l.Jobs[s.ID]
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -402,7 +402,7 @@
 	now := a.env.Now()
 	var ms []*ledger.Machine
 	for _, m := range a.led.Sorted() {
-		if m.Heard && !m.Leaving && len(m.P) == 0 && now-max(m.IdleSince, m.WantedAt, a.began) > a.cfg.IdleKeep {
+		if m.Heard && !m.Leaving && len(m.P) == 0 && now-max(m.IdleSince, m.WantedAt, a.began) > a.cfg.IdleKeep && !a.led.Unwritten(m) {
 			ms = append(ms, m)
 		}
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -5,7 +5,8 @@
 package ledger
 
 import (
-	"net/http"
+	"cmp"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -19,8 +20,6 @@
 	"brooklb/internal/wire"
 )
 
-var _ = http.StatusOK
-
 // Task of a job.
 type Task struct {
 	Done      bool
@@ -33,13 +32,13 @@
 	WantUntil time.Duration
 }
 
-// Chunk is the durable form of up to ChunkTasks tasks.
+// chunk is the durable form of some tasks.
 type chunk struct {
 	stamp    uint64
 	dirty    bool
 	inFlight bool
 	since    time.Duration
-	urgent   bool
+	urgent   bool // somebody waits for it: a placement that isn't durable
 }
 
 // Job is a job that is not over, or whose tasks are not all gone.
@@ -58,7 +57,10 @@
 	Why     string
 	Waits   string // why the job currently can't be placed
 	Started bool   // gang: seen running in this attempt
+	per     int    // tasks in a chunk
+	ending  bool   // in the queue of jobs whose end is to be written
 	closing bool   // the final record is being written
+	broken  bool   // a record of it can't be read: it is left alone
 	erred   map[*Machine]bool
 	next    int // hint for the first task that may be idle
 }
@@ -157,7 +159,9 @@
 	// and list entries may still be on their way; names are not used again.
 	Returned map[string]bool
 	order    []*Job
-	dirty    []*dirtyRef
+	dirty    []dirtyRef
+	ends     []*Job   // done, which is to be written
+	orphans  []orphan // chunks of jobs that are over
 	flying   bool
 	stopped  bool
 	loading  bool
@@ -175,6 +179,11 @@
 	n   int
 }
 
+type orphan struct {
+	key   string
+	stamp uint64
+}
+
 // New makes the ledger of a term from the replica.
 func New(env actor.Env, store *statestore.Store, token uint64, teams []settings.Team) *Ledger {
 	l := &Ledger{env: env, store: store, token: token, Jobs: map[string]*Job{}, Machines: map[string]*Machine{},
@@ -232,11 +241,11 @@
 		if r.spec == nil || r.Final == Done {
 			return
 		}
-		if r.Final != Open && !l.hasChunks(id) {
+		if r.Final != Open && !l.hasChunks(id, r) {
 			return
 		}
-		j = &Job{Spec: r.spec, At: r.At, Tasks: make([]Task, r.Tasks), erred: map[*Machine]bool{},
-			chunks: make([]chunk, (r.Tasks+ChunkTasks-1)/ChunkTasks)}
+		j = &Job{Spec: r.spec, At: r.At, Tasks: make([]Task, r.Tasks), erred: map[*Machine]bool{}, per: r.Chunk,
+			chunks: make([]chunk, r.Chunks())}
 		age := max(0, l.env.Wall().UnixMilli()-r.At)
 		j.Since = l.env.Now() - time.Duration(age)*time.Millisecond
 		l.Jobs[id] = j
@@ -258,15 +267,14 @@
 	}
 }
 
-func (l *Ledger) hasChunks(id string) bool {
-	_, ok := l.store.Peek(ChunkKey(id, 0))
-	if ok {
-		return true
-	}
-	found := false
+func (l *Ledger) hasChunks(id string, r *JobRecord) bool {
 	// Chunks of long arrays are not written in order.
-	l.store.Each(ChunkPrefix+id+"/", func(string, statestore.Item) { found = true })
-	return found
+	for n := range r.Chunks() {
+		if _, ok := l.store.Peek(ChunkKey(id, n)); ok {
+			return true
+		}
+	}
+	return false
 }
 
 func (l *Ledger) loadChunk(key string, it statestore.Item) {
@@ -277,6 +285,15 @@
 	}
 	j := l.Jobs[rest[:i]]
 	n, err := strconv.Atoi(rest[i+1:])
+	if j == nil && err == nil {
+		// An earlier leader wrote the end, but came no further. A record that
+		// can't be read may be anything: its chunks stay.
+		if rec, ok := l.store.Peek(JobKey(rest[:i])); ok {
+			if r, err := DecodeRecord(rest[:i], rec.Value); err == nil && r.Final == Done {
+				l.orphans = append(l.orphans, orphan{key, it.Stamp})
+			}
+		}
+	}
 	if j == nil || err != nil || n < 0 || n >= len(j.chunks) {
 		return
 	}
@@ -284,7 +301,7 @@
 	if err != nil {
 		l.env.Log().Error("chunk can't be read, its job is left alone", "key", key, "err", err)
 		j.Waits = "its record can't be read"
-		j.closing = true
+		j.broken = true
 		return
 	}
 	j.chunks[n].stamp = it.Stamp
@@ -292,8 +309,8 @@
 		j.Why = why
 	}
 	for k, s := range st {
-		t := n*ChunkTasks + k
-		if t >= len(j.Tasks) {
+		t := n*j.per + k
+		if k >= j.per || t >= len(j.Tasks) {
 			break
 		}
 		task := &j.Tasks[t]
@@ -313,6 +330,7 @@
 	if j.Spec.Kind == model.Gang {
 		l.checkGang(j)
 	}
+	l.checkEnd(j)
 }
 
 func (l *Ledger) checkGang(j *Job) {
@@ -438,25 +456,52 @@
 	return p
 }
 
-// Touch marks a task's record as changed.
+// touch marks a task's record as changed.
 func (l *Ledger) touch(j *Job, task int, urgent bool) {
-	c := &j.chunks[task/ChunkTasks]
+	c := &j.chunks[task/j.per]
 	c.urgent = c.urgent || urgent
 	if !c.dirty {
 		c.dirty = true
 		c.since = l.env.Now()
-		l.dirty = append(l.dirty, &dirtyRef{j, task / ChunkTasks})
+		l.dirty = append(l.dirty, dirtyRef{j, task / j.per})
 	}
-	if l.resting == nil {
-		// Let the changes of one step gather into one transaction.
-		l.resting = l.env.After(2*time.Millisecond, func() { l.resting = nil; l.flush() })
+	l.soon()
+}
+
+// soon lets the changes of one step gather into one transaction.
+func (l *Ledger) soon() { l.wait(2 * time.Millisecond) }
+
+func (l *Ledger) wait(d time.Duration) {
+	if l.resting == nil && !l.stopped {
+		l.resting = l.env.After(d, func() { l.resting = nil; l.flush() })
 	}
 }
 
-// Clean reports whether everything known of the task is durable.
+// Clean reports whether everything known of the task is durable. Of a job that
+// is over nothing else matters.
 func (j *Job) Clean(task int) bool {
-	c := &j.chunks[task/ChunkTasks]
-	return !c.dirty && !c.inFlight
+	c := &j.chunks[task/j.per]
+	return j.Final != Open || !c.dirty && !c.inFlight
+}
+
+// Unwritten reports whether the machine's worker holds results that are not
+// durable yet.
+func (l *Ledger) Unwritten(m *Machine) bool {
+	for _, t := range m.Ended {
+		if j := l.Jobs[t.Job]; j != nil && t.Cause == model.CauseDone && t.Task < len(j.Tasks) && !j.Clean(t.Task) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkEnd puts a job whose tasks are all done in the queue of ends.
+func (l *Ledger) checkEnd(j *Job) {
+	if j.Final == Open && !j.ending && !j.broken && j.NDone == len(j.Tasks) && j.Placed == 0 && j.Spec.Kind != model.Service {
+		j.ending = true
+		l.ends = append(l.ends, j)
+		l.soon()
+	}
 }
 
 // Finished records that a task is done. Its placement, if any, is gone.
@@ -481,6 +526,7 @@
 			}
 		}
 	}
+	l.checkEnd(j)
 	if l.OnChange != nil {
 		l.OnChange()
 	}
@@ -504,7 +550,7 @@
 		}
 		l.env.Log().Info("task gone", "job", j.Spec.ID, "task", p.Task, "attempt", p.Attempt, "machine", p.M.Name, "why", why, "stop", p.StopWhy)
 	}
-	if durable || j.chunks[p.Task/ChunkTasks].stamp != 0 || j.chunks[p.Task/ChunkTasks].inFlight {
+	if c := &j.chunks[p.Task/j.per]; durable || c.stamp != 0 || c.inFlight {
 		l.touch(j, p.Task, false)
 	}
 	if j.Spec.Kind == model.Gang && j.Final == Open && !j.Tasks[p.Task].Done {
@@ -520,6 +566,7 @@
 			l.breakGang(j, why)
 		}
 	}
+	l.checkEnd(j)
 	l.forgetIfOver(j)
 	if l.OnChange != nil {
 		l.OnChange()
@@ -589,7 +636,7 @@
 	for i := range j.chunks {
 		if j.chunks[i].stamp != 0 {
 			pending = true
-			l.touch(j, i*ChunkTasks, false)
+			l.touch(j, i*j.per, false)
 		}
 	}
 	if pending {
@@ -606,7 +653,7 @@
 
 func (l *Ledger) encodeChunk(j *Job, n int) []byte {
 	var sb strings.Builder
-	for i := n * ChunkTasks; i < min(len(j.Tasks), (n+1)*ChunkTasks); i++ {
+	for i := n * j.per; i < min(len(j.Tasks), (n+1)*j.per); i++ {
 		t := &j.Tasks[i]
 		if sb.Len() > 0 {
 			sb.WriteByte(' ')
@@ -631,90 +678,143 @@
 
 type flight struct {
 	job    *Job
-	n      int
+	n      int // chunk; -1: the job's end
+	key    string
 	placed []*Placement
-	final  bool
 	drop   bool
 }
 
-// flush writes what is dirty, one transaction at a time. Every transaction is
-// conditional on our leadership, on the job's record (so that a cancellation
+const (
+	// What nobody waits for is written when the budget has room to spare, and
+	// after this long whether it has or not.
+	lazyFor = 10 * time.Second
+	// The part of the budget that is kept for what somebody waits for.
+	lazyKeep = 0.5
+)
+
+// rank orders what is to be written by what people wait for: starts of higher
+// priority, other starts, then what only spares work after a failure, then
+// what is merely in the way.
+func (l *Ledger) rank(d dirtyRef, now time.Duration) int {
+	c := &d.job.chunks[d.n]
+	switch {
+	case d.job.Final != Open:
+		return 20
+	case c.urgent || now-c.since > lazyFor:
+		return int(model.Production - d.job.Spec.Priority)
+	}
+	return 10
+}
+
+// flush writes what is to be written, one transaction at a time, as much as the
+// budget holds: first the ends of jobs, then what rank says. Every transaction
+// is conditional on our leadership, on the job's record (so that a cancellation
 // and a placement can't both win) and on the chunk's last version (so that a
 // transaction that arrives late fails).
 func (l *Ledger) flush() {
-	if l.flying || l.stopped || len(l.dirty) == 0 {
+	if l.flying || l.stopped || len(l.dirty)+len(l.ends)+len(l.orphans) == 0 {
+		return
+	}
+	now := l.env.Now()
+	budget := l.store.WriteRoom()
+	ops := min(l.MaxOps, int(budget))
+	if ops < 1 {
+		l.wait(80 * time.Millisecond)
 		return
 	}
+	spare := int(budget - lazyKeep*l.store.WriteBurst())
+	conds := 4*l.MaxOps - 2
 	t := wire.Txn{When: []wire.Cond{{Path: leader.Key, Stamp: l.token}}}
 	var fl []*flight
-	var rest []*dirtyRef
 	size := 0
 	condJob := map[*Job]bool{}
-	// Placements first: somebody waits for them.
-	sort.SliceStable(l.dirty, func(a, b int) bool {
-		return l.dirty[a].job.chunks[l.dirty[a].n].urgent && !l.dirty[b].job.chunks[l.dirty[b].n].urgent
-	})
-	for _, d := range l.dirty {
-		j, c := d.job, &d.job.chunks[d.n]
-		if l.Jobs[j.Spec.ID] != j {
-			continue
-		}
-		room := l.MaxOps - len(t.Apply)
-		need := 1
-		finish := j.Final == Open && !j.closing && j.NDone == len(j.Tasks) && j.Placed == 0 && j.Spec.Kind != model.Service
-		if finish {
-			need = 2
-		}
-		if room < need || size > 48<<10 || len(t.When)+2 > 4*l.MaxOps {
-			rest = append(rest, d)
-			continue
-		}
-		f := &flight{job: j, n: d.n}
+	cond := func(j *Job) {
 		if !condJob[j] {
 			condJob[j] = true
 			t.When = append(t.When, wire.Cond{Path: JobKey(j.Spec.ID), Stamp: j.Stamp})
 		}
-		key := ChunkKey(j.Spec.ID, d.n)
-		t.When = append(t.When, wire.Cond{Path: key, Stamp: c.stamp})
-		gone := j.Final != Open && j.Placed == 0
+	}
+	full := func() bool { return len(t.Apply) >= ops || size > 48<<10 || len(t.When) > conds }
+	keepEnds := l.ends[:0]
+	for _, j := range l.ends {
 		switch {
-		case finish && len(j.chunks) == 1:
+		case l.Jobs[j.Spec.ID] != j || j.Final != Open || j.closing:
+			j.ending = false
+		case full():
+			keepEnds = append(keepEnds, j)
+		default:
 			rec := *j.Rec
-			rec.Final, rec.Nonce = Done, j.Rec.Nonce
+			// The description is needed no more.
+			rec.Final, rec.Spec = Done, nil
 			v := rec.Encode()
+			cond(j)
 			t.Apply = append(t.Apply, wire.Change{Write: JobKey(j.Spec.ID), Value: v})
-			if c.stamp != 0 {
-				t.Apply = append(t.Apply, wire.Change{Delete: key})
-			}
 			size += len(v)
-			f.final, f.drop = true, true
-			j.closing = true
-		case gone:
+			fl = append(fl, &flight{job: j, n: -1})
+			j.ending, j.closing = false, true
+		}
+	}
+	l.ends = keepEnds
+	ranks := make([]int, len(l.dirty))
+	order := make([]int, len(l.dirty))
+	for i, d := range l.dirty {
+		ranks[i], order[i] = l.rank(d, now), i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(ranks[a], ranks[b]) })
+	var rest []dirtyRef
+	for _, i := range order {
+		d := l.dirty[i]
+		j, c := d.job, &d.job.chunks[d.n]
+		if l.Jobs[j.Spec.ID] != j {
+			continue
+		}
+		lazy := ranks[i] >= 10 && len(t.Apply) >= spare
+		if j.closing || lazy || full() {
+			rest = append(rest, d)
+			continue
+		}
+		key := ChunkKey(j.Spec.ID, d.n)
+		f := &flight{job: j, n: d.n, key: key}
+		if j.Final != Open && j.Placed > 0 {
+			// Its chunks go when the last of its tasks is gone; until then they
+			// may claim more than there is.
+			c.dirty, c.urgent = false, false
+			continue
+		}
+		if j.Final != Open {
 			if c.stamp == 0 {
 				c.dirty = false
-				t.When = t.When[:len(t.When)-1]
 				continue
 			}
 			t.Apply = append(t.Apply, wire.Change{Delete: key})
 			f.drop = true
-		default:
+		} else {
 			v := l.encodeChunk(j, d.n)
+			if limit := l.store.Config().ValueBytes; limit > 0 && len(v) > limit {
+				v = l.shrink(j, d.n, limit)
+			}
 			size += len(v)
 			t.Apply = append(t.Apply, wire.Change{Write: key, Value: v})
-			for i := d.n * ChunkTasks; i < min(len(j.Tasks), (d.n+1)*ChunkTasks); i++ {
+			for i := d.n * j.per; i < min(len(j.Tasks), (d.n+1)*j.per); i++ {
 				if p := j.Tasks[i].P; p != nil && !p.Durable {
 					f.placed = append(f.placed, p)
 				}
 			}
 		}
+		cond(j)
+		t.When = append(t.When, wire.Cond{Path: key, Stamp: c.stamp})
 		c.dirty, c.urgent, c.inFlight = false, false, true
 		fl = append(fl, f)
 	}
 	l.dirty = rest
+	for len(l.orphans) > 0 && len(t.Apply) < min(ops, spare) && !full() {
+		o := l.orphans[0]
+		l.orphans = l.orphans[1:]
+		t.When = append(t.When, wire.Cond{Path: o.key, Stamp: o.stamp})
+		t.Apply = append(t.Apply, wire.Change{Delete: o.key})
+		fl = append(fl, &flight{n: -1, key: o.key})
+	}
 	if len(t.Apply) == 0 {
-		for _, f := range fl {
-			f.job.chunks[f.n].inFlight = false
-		}
 		return
 	}
 	l.flying = true
@@ -727,17 +827,46 @@
 	})
 }
 
+// shrink calls off placements that nobody was told of until the chunk fits its
+// limit, for machines with very long names.
+func (l *Ledger) shrink(j *Job, n, limit int) []byte {
+	j.Why = ""
+	v := l.encodeChunk(j, n)
+	for i := min(len(j.Tasks), (n+1)*j.per) - 1; i >= n*j.per && len(v) > limit; i-- {
+		if p := j.Tasks[i].P; p != nil && !p.Durable {
+			l.vacate(p)
+			j.Tasks[i].NotBefore = l.env.Now() + 5*time.Second
+			v = l.encodeChunk(j, n)
+		}
+	}
+	return v
+}
+
 func (l *Ledger) settle(fl []*flight, r statestore.Result, epoch uint64, failed []string) {
 	for _, f := range fl {
-		f.job.chunks[f.n].inFlight = false
+		if f.job == nil {
+			continue
+		}
+		if f.n >= 0 {
+			f.job.chunks[f.n].inFlight = false
+		} else {
+			f.job.closing = false
+		}
 	}
 	if r == statestore.OK {
 		var started []*Placement
 		for _, f := range fl {
-			c := &f.job.chunks[f.n]
-			c.stamp = epoch
-			if f.drop {
-				c.stamp = 0
+			if f.job == nil {
+				continue
+			}
+			if f.n < 0 {
+				f.job.Final, f.job.Stamp = Done, epoch
+				l.env.Log().Info("job over", "job", f.job.Spec.ID, "phase", Done)
+			} else {
+				f.job.chunks[f.n].stamp = epoch
+				if f.drop {
+					f.job.chunks[f.n].stamp = 0
+				}
 			}
 			for _, p := range f.placed {
 				if !p.Gone {
@@ -745,30 +874,26 @@
 					started = append(started, p)
 				}
 			}
-			if f.final {
-				f.job.Final = Done
-				f.job.Stamp = epoch
-			}
-			if l.finishable(f.job) {
-				l.finishLong(f.job)
-			}
 			l.forgetIfOver(f.job)
 		}
 		if len(started) > 0 && l.OnDurable != nil {
 			l.OnDurable(started)
 		}
-		if len(l.dirty) > 0 {
-			l.flush()
-		}
+		l.flush()
 		return
 	}
 	redo := func() {
 		for _, f := range fl {
-			if f.final {
-				f.job.closing = false
-			}
-			if l.Jobs[f.job.Spec.ID] == f.job {
-				l.touch(f.job, f.n*ChunkTasks, len(f.placed) > 0)
+			switch {
+			case f.job == nil:
+				if it, ok := l.store.Peek(f.key); ok {
+					l.orphans = append(l.orphans, orphan{f.key, it.Stamp})
+				}
+			case l.Jobs[f.job.Spec.ID] != f.job:
+			case f.n < 0:
+				l.checkEnd(f.job)
+			default:
+				l.touch(f.job, f.n*f.job.per, len(f.placed) > 0)
 			}
 		}
 	}
@@ -821,6 +946,7 @@
 	if strings.HasPrefix(key, JobPrefix) {
 		l.JobEvent(key, it)
 		if j := l.Jobs[strings.TrimPrefix(key, JobPrefix)]; j != nil && it != nil && j.Final == Done {
+			// An earlier copy of the end was applied.
 			l.forgetIfOver(j)
 		}
 		return
@@ -838,68 +964,8 @@
 	}
 }
 
-func (l *Ledger) finishable(j *Job) bool {
-	if len(j.chunks) == 1 || j.Final != Open || j.closing || j.NDone != len(j.Tasks) || j.Spec.Kind == model.Service {
-		return false
-	}
-	for i := range j.chunks {
-		if j.chunks[i].dirty || j.chunks[i].inFlight {
-			return false
-		}
-	}
-	return true
-}
-
-// finishLong closes a job of several chunks, once all of them are durable.
-func (l *Ledger) finishLong(j *Job) {
-	j.closing = true
-	rec := *j.Rec
-	rec.Final = Done
-	t := wire.Txn{When: []wire.Cond{{Path: leader.Key, Stamp: l.token}, {Path: JobKey(j.Spec.ID), Stamp: j.Stamp}},
-		Apply: []wire.Change{{Write: JobKey(j.Spec.ID), Value: rec.Encode()}}}
-	l.store.Commit(t, true, func(r statestore.Result, epoch uint64, failed []string) {
-		if l.stopped {
-			return
-		}
-		j.closing = false
-		switch r {
-		case statestore.OK:
-			j.Final, j.Stamp = Done, epoch
-			l.forgetIfOver(j)
-		case statestore.Conflict:
-			for _, k := range failed {
-				if k == leader.Key {
-					if l.OnDeposed != nil {
-						l.OnDeposed()
-					}
-					return
-				}
-			}
-			l.store.Get(JobKey(j.Spec.ID), func(it *statestore.Item, ok bool) {
-				if ok && !l.stopped {
-					l.JobEvent(JobKey(j.Spec.ID), it)
-				}
-			})
-		default:
-			l.env.After(300*time.Millisecond, func() {
-				if !l.stopped && l.finishable(j) {
-					l.finishLong(j)
-				}
-			})
-		}
-	})
-}
-
 // Kick retries what was left over.
-func (l *Ledger) Kick() {
-	l.flush()
-	for _, j := range l.order {
-		if l.finishable(j) {
-			l.finishLong(j)
-			return
-		}
-	}
-}
+func (l *Ledger) Kick() { l.flush() }
 
 // Readable reports whether all of the job's record could be read.
-func (j *Job) Readable() bool { return !j.closing }
+func (j *Job) Readable() bool { return !j.broken }
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -16,13 +16,23 @@
 const (
 	JobPrefix   = statestore.Prefix + "j/"
 	ChunkPrefix = statestore.Prefix + "t/"
-	// ChunkTasks is how many tasks one chunk holds. A task takes at most 60
-	// bytes or so, which keeps a chunk under the smallest value limit seen.
-	ChunkTasks = 48
-	// Format is the version of the records written.
-	Format = 1
+	// Format is the version of the records written. Version 1 had 48 tasks in
+	// every chunk; it is read, too.
+	Format = 2
 )
 
+// Tasks in a chunk. A task's state rarely takes more than taskBytes: the number
+// of the attempt and the name of a machine. Where names are longer, placements
+// wait until there is room in the value (Ledger.flush).
+const (
+	oldChunkTasks = 48 // of records that don't say
+	taskBytes     = 32
+	chunkExtra    = 400 // what a chunk holds besides
+)
+
+// ChunkTasks is how many tasks a chunk holds where values have a limit.
+func ChunkTasks(valueBytes int) int { return max(1, (valueBytes-chunkExtra)/taskBytes) }
+
 // Final phases of a job record.
 const (
 	Open      = ""
@@ -44,6 +54,7 @@
 	Nonce string      `json:"n,omitempty"`
 	Why   string      `json:"w,omitempty"`
 	Tasks int         `json:"k"`
+	Chunk int         `json:"c,omitempty"` // tasks in a chunk
 	Spec  *specRecord `json:"s,omitempty"`
 	spec  *model.Spec `json:"-"`
 }
@@ -70,9 +81,10 @@
 	Due   float64  `json:"du,omitempty"`
 }
 
-// NewRecord is the record of a job just accepted.
-func NewRecord(s *model.Spec, atMS int64, nonce string) *JobRecord {
-	return &JobRecord{V: Format, At: atMS, Nonce: nonce, Tasks: s.Tasks, Spec: &specRecord{
+// NewRecord is the record of a job just accepted, its tasks in chunks of the
+// given size.
+func NewRecord(s *model.Spec, atMS int64, nonce string, chunk int) *JobRecord {
+	return &JobRecord{V: Format, At: atMS, Nonce: nonce, Tasks: s.Tasks, Chunk: chunk, Spec: &specRecord{
 		Class: s.Class, Team: s.Team, Kind: uint8(s.Kind), Prio: uint8(s.Priority),
 		CPUs: s.Need.CPUs, GPUs: s.Need.GPUs, Mem: s.Need.MemGB, Image: s.Image, GB: s.ImageGB,
 		Any: s.Types == nil, Types: s.Types, Zone: s.Zone, One: s.OneZone, Apart: s.Spread, Spot: s.Spot,
@@ -98,6 +110,12 @@
 	if r.V < 1 || r.V > Format {
 		return nil, fmt.Errorf("job record %s: format %d is not known here", id, r.V)
 	}
+	if r.Chunk == 0 {
+		r.Chunk = oldChunkTasks
+	}
+	if r.Chunk < 1 || r.Tasks < 1 {
+		return nil, fmt.Errorf("job record %s: %d tasks in chunks of %d", id, r.Tasks, r.Chunk)
+	}
 	if r.Final == Open && r.Spec == nil {
 		return nil, fmt.Errorf("job record %s: no description", id)
 	}
@@ -116,6 +134,9 @@
 // JobSpec is the description, nil for a job that is over.
 func (r *JobRecord) JobSpec() *model.Spec { return r.spec }
 
+// Chunks is how many chunks the job's tasks take.
+func (r *JobRecord) Chunks() int { return (r.Tasks + r.Chunk - 1) / r.Chunk }
+
 type chunkRecord struct {
 	V int    `json:"v"`
 	T string `json:"t"`           // states of the tasks, see encodeTasks
--- a/internal/statestore/store.go
+++ b/internal/statestore/store.go
@@ -54,6 +54,7 @@
 	requests actor.Bucket
 	writes   actor.Bucket
 	leading  bool
+	rps      float64 // this node's share
 
 	items  map[string]Item
 	graves map[string]uint64 // keys known to be deleted at a revision the watch has not reached
@@ -68,6 +69,8 @@
 	refusedAt time.Duration
 	queue     []*read
 	reading   int
+	readAt    time.Duration // of the last read
+	readTimer *actor.Timer
 	watchFail int
 }
 
@@ -86,18 +89,25 @@
 	readTimeout   = 1200 * time.Millisecond
 	commitTimeout = 1500 * time.Millisecond
 	watchBlock    = 2 * time.Second
-	watchGap      = 150 * time.Millisecond // between watches of a node that doesn't lead
+	watchGap      = 150 * time.Millisecond // least time between watches of a node that doesn't lead
 	leaderGap     = 40 * time.Millisecond
-	// Shares of the request and write budgets. What a node does for users
-	// leaves a reserve for its lease and its watch.
+	readGap       = 20 * time.Millisecond // least time between reads
+	// Shares of the budgets. The leader writes most; what is left is divided
+	// among the others, however many they are.
 	leaderShare   = 0.46
-	followerShare = 0.25
-	userReserve   = 0.15
+	leaderWrites  = 0.6
+	followerShare = 0.25 // at most
+	used          = 0.95 // of the budgets, by all together
+	// Of a node's own share, what it does for users leaves a reserve for its
+	// lease and its watch, and watches and reads take no more than these.
+	userReserve = 0.15
+	watchShare  = 0.35
+	readShare   = 0.4
 )
 
 // New makes a Store; Start begins to fill its replica.
 func New(env actor.Env, cfg Config) *Store {
-	s := &Store{env: env, cfg: cfg, items: map[string]Item{}, graves: map[string]uint64{}, contact: -time.Hour}
+	s := &Store{env: env, cfg: cfg, items: map[string]Item{}, graves: map[string]uint64{}, contact: -time.Hour, readAt: -time.Hour}
 	s.SetLeading(false)
 	return s
 }
@@ -108,18 +118,30 @@
 // SetLeading chooses the share of the budgets: the leader writes most.
 func (s *Store) SetLeading(on bool) {
 	s.leading = on
-	share := followerShare
-	if s.cfg.Nodes <= 1 {
-		share = 0.95
-	} else if on {
-		share = leaderShare
-	} else if s.cfg.Nodes > 3 {
-		share = (0.95 - leaderShare) / float64(s.cfg.Nodes-1)
+	share := func(leader float64) float64 {
+		switch {
+		case s.cfg.Nodes <= 1:
+			return used
+		case on:
+			return leader
+		}
+		return min(followerShare, (used-leader)/float64(s.cfg.Nodes-1))
 	}
-	s.requests.SetRate(s.cfg.RPS*share, max(4, s.cfg.RPS*share))
-	s.writes.SetRate(s.cfg.WriteRPS*share, max(float64(s.cfg.TxnOps), s.cfg.WriteRPS*share))
+	s.rps = s.cfg.RPS * share(leaderShare)
+	w := s.cfg.WriteRPS * share(leaderWrites)
+	s.requests.SetRate(s.rps, max(4, s.rps))
+	s.writes.SetRate(w, max(float64(s.cfg.TxnOps), w))
 }
 
+// gap is the time between requests of one kind that may take a part of the
+// node's share.
+func (s *Store) gap(part float64, least time.Duration) time.Duration {
+	return max(least, time.Duration(float64(time.Second)/(s.rps*part)))
+}
+
+// reserve is what requests for users leave in the bucket.
+func (s *Store) reserve() float64 { return min(3, s.rps*userReserve) }
+
 // Subscribe registers a function that hears of every change of the replica;
 // it is nil when the key is gone.
 func (s *Store) Subscribe(f func(key string, it *Item)) { s.subs = append(s.subs, f) }
@@ -166,6 +188,12 @@
 	s.waits = append(s.waits, wait{epoch, f})
 }
 
+// WriteRoom is how many changes the budget holds now, WriteBurst at most.
+func (s *Store) WriteRoom() float64 { return s.writes.Level(s.env.Now()) }
+
+// WriteBurst is the most that WriteRoom can be.
+func (s *Store) WriteBurst() float64 { return s.writes.Burst() }
+
 func (s *Store) call(method, path string, body []byte, timeout time.Duration, done func(actor.Answer)) {
 	s.env.Call(actor.Call{Addr: s.cfg.Addr, Method: method, Path: path, Body: body, Timeout: timeout, Done: func(a actor.Answer) {
 		switch {
@@ -305,9 +333,9 @@
 			}
 			s.wake()
 		}
-		gap := watchGap
+		gap := s.gap(watchShare, watchGap)
 		if s.leading {
-			gap = leaderGap
+			gap = s.gap(watchShare, leaderGap)
 		}
 		if s.env.Now()-opened >= gap {
 			s.watch(gen)
@@ -359,10 +387,16 @@
 }
 
 func (s *Store) pump() {
-	if len(s.queue) == 0 || s.reading >= 2 {
+	if len(s.queue) == 0 || s.reading >= 2 || s.readTimer != nil {
+		return
+	}
+	// What comes within a short while is asked together.
+	if d := s.readAt + s.gap(readShare, readGap) - s.env.Now(); d > 0 && len(s.queue) < 4*s.cfg.TxnOps {
+		s.readTimer = s.env.After(d, func() { s.readTimer = nil; s.pump() })
 		return
 	}
-	if !s.requests.Take(s.env.Now(), 1, s.cfg.RPS*userReserve*followerShare) {
+	s.readAt = s.env.Now()
+	if !s.requests.Take(s.env.Now(), 1, s.reserve()) {
 		q := s.queue
 		s.queue = nil
 		for _, r := range q {
@@ -450,7 +484,7 @@
 func (s *Store) Commit(t wire.Txn, own bool, done func(r Result, epoch uint64, failed []string)) {
 	keep, keepW := 0.0, 0.0
 	if !own {
-		keep = s.cfg.RPS * userReserve * followerShare
+		keep = s.reserve()
 	}
 	refuse := func() { s.env.After(0, func() { done(Refused, 0, nil) }) }
 	if !s.requests.Take(s.env.Now(), 1, keep) {
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -43,7 +43,7 @@
 	a := New(e, l, 7, Config{Lease: 30 * time.Second, Hold: 20 * time.Second, Report: 3 * time.Second})
 	asked := 0
 	a.OnStuck = func() { asked++ }
-	rec := ledger.NewRecord(&model.Spec{ID: "j-1", Team: "t", Tasks: 1, Need: model.Need{CPUs: 1}, Image: "i"}, 0, "")
+	rec := ledger.NewRecord(&model.Spec{ID: "j-1", Team: "t", Tasks: 1, Need: model.Need{CPUs: 1}, Image: "i"}, 0, "", 48)
 	l.JobEvent(ledger.JobKey("j-1"), &statestore.Item{Value: rec.Encode(), Stamp: 1})
 	seq := uint64(0)
 	report := func() []model.Order {
