--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,6 +2,7 @@
 package node
 
 import (
+	"math"
 	"time"
 
 	"brooklb/internal/actor"
@@ -45,6 +46,7 @@
 	closed    bool
 	lastPass  time.Duration
 	lastRent  time.Duration
+	lastView  time.Duration
 	lastMoves time.Duration
 	lastLook  time.Duration // for a reason to consolidate
 	lastStops time.Duration
@@ -231,11 +233,79 @@
 	}
 	t.fleet.Tick()
 	t.led.Kick()
+	t.overview()
 	if t.n.env.Now()-t.lastPass > time.Second {
 		t.wake()
 	}
 }
 
+// overviewEvery is how often the leader logs how the cluster stands.
+const overviewEvery = 15 * time.Second
+
+// overview logs what the machines are doing: where money goes when it does not
+// go into work.
+func (t *term) overview() {
+	now := t.n.env.Now()
+	if now-t.lastView < overviewEvery {
+		return
+	}
+	t.lastView = now
+	var booting, idle, spot, silent, leaving int
+	var fetching, waiting, running, saving, room float64
+	for _, m := range t.led.Sorted() {
+		switch {
+		case m.Leaving:
+			leaving++
+			continue
+		case !m.Heard:
+			booting++
+			continue
+		case now-m.LastHeard > 3*seconds(t.n.set.Facts.Workers.ReportS):
+			silent++
+		case len(m.P) == 0:
+			idle++
+		}
+		if m.Spot {
+			spot++
+		}
+		if len(m.P) > 0 {
+			room += part(m.Free(), m.Cap)
+		}
+		for _, p := range m.P {
+			x := part(p.Job.Spec.Need, m.Cap)
+			switch p.Phase {
+			case model.Running:
+				running += x
+			case model.Waiting:
+				waiting += x
+			case model.Saving:
+				saving += x
+			default:
+				fetching += x
+			}
+		}
+	}
+	tasks := 0
+	for _, j := range t.left {
+		tasks += len(j.Tasks) - j.NDone - j.Placed
+	}
+	t.n.env.Log().Info("overview", "machines", len(t.led.Sorted()), "spot", spot, "booting", booting, "idle", idle, "silent", silent, "leaving", leaving,
+		"running", tenth(running), "fetching", tenth(fetching), "waiting", tenth(waiting), "saving", tenth(saving), "room", tenth(room),
+		"jobs", len(t.led.Order()), "waiting_jobs", len(t.left), "waiting_tasks", tasks)
+}
+
+func part(n, whole model.Need) float64 {
+	if whole.GPUs > 0 {
+		return n.GPUs / whole.GPUs
+	}
+	if whole.CPUs > 0 {
+		return n.CPUs / whole.CPUs
+	}
+	return 0
+}
+
+func tenth(x float64) float64 { return math.Round(10*x) / 10 }
+
 // wake asks for a pass soon. What changes close together is dealt with in one
 // pass, and passes keep a distance that leaves most of the processor to users'
 // and workers' requests however many machines there are.
