--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -84,6 +84,8 @@
 	StopSent  time.Duration
 	StopWhy   string
 	SentAt    time.Duration
+	Again     bool // has waited in vain for its gang, is to be started again in the same attempt
+	Retries   int  // how often that happened
 	Gone      bool
 }
 
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -246,3 +246,21 @@
 	health(40*time.Second, "200 200 200 ")
 	health(58*time.Second, "200 200 200 ")
 }
+
+// TestGangWithSlowFetch guards against a gang that never comes together: its
+// image takes some machines longer than others by more than a task may wait,
+// and starting all anew gave up the slowest fetch each time (lumiar grown, a
+// gang of four that fetched and waited until the end of the day).
+func TestGangWithSlowFetch(t *testing.T) {
+	for _, s := range seeds(t, 5) {
+		w := world(s)
+		w.At(5*time.Second, func() {
+			w.Submit(Job{ID: "j-1", Shape: "ensemble", Team: "free", Image: "large", ImageGB: 80, Tasks: 4, CPUs: 16, RunS: 20})
+		})
+		if s%2 == 0 { // the next leader goes on with it
+			w.At(150*time.Second, func() { w.Crash(w.Leader(), 3*time.Second) })
+		}
+		w.Run(400 * time.Second)
+		w.verdict(t, 1)
+	}
+}
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -144,6 +144,8 @@
 		if t.Phase == model.Exited {
 			m.Ended = append(m.Ended, t)
 			a.exited(p, t)
+		} else {
+			p.Again = false
 		}
 	}
 	for _, p := range m.List() {
@@ -243,6 +245,10 @@
 		task.Avoid = m
 		task.NotBefore = now + backoff(task.Errors)
 		a.blame(m, j)
+	case model.CauseAlone:
+		if a.again(p) {
+			return
+		}
 	case model.CauseNoRoom:
 		m.NoPlace = now + 5*time.Second
 		task.NotBefore = now + time.Second
@@ -259,6 +265,32 @@
 	a.led.Lost(p, cause)
 }
 
+// mostAgain bounds how often a task of a gang is started again in one attempt.
+const mostAgain = 12
+
+// again reports whether a task that has waited in vain for the others of its
+// gang is to wait once more. Fetches of one image differ by more than the
+// longest wait: if the gang were started anew each time, the slowest fetch
+// would be given up each time, and the gang would never come together. The task
+// keeps its attempt and its place; its image is there.
+func (a *Actor) again(p *ledger.Placement) bool {
+	j := p.Job
+	if j.Spec.Kind != model.Gang || j.Final != ledger.Open || j.Broken || p.Stopping || (!p.Again && p.Retries >= mostAgain) || a.mayArrive(p.M, p) {
+		return false
+	}
+	for i := range j.Tasks {
+		q := j.Tasks[i].P
+		if q == nil || q.Attempt != p.Attempt || q.Stopping || q.Phase == model.Running || q.Phase == model.Saving {
+			return false
+		}
+	}
+	if !p.Again {
+		p.Again = true
+		p.Retries++
+	}
+	return true
+}
+
 func backoff(n int) time.Duration {
 	return min(time.Minute, time.Second<<min(n, 6))
 }
@@ -347,6 +379,13 @@
 				p.StopSent = now
 				out = append(out, model.Order{Op: model.Stop, Job: id, Task: p.Task, Attempt: p.Attempt, GraceS: p.GraceS})
 			}
+		case p.Again:
+			// Only in an answer, which is executed at once or never: a copy that
+			// came late would make the worker forget what it has done since.
+			if all && m.Token >= a.token {
+				out = append(out, model.Order{Op: model.Forget, Job: id, Task: p.Task, Attempt: p.Attempt},
+					model.Order{Op: model.Start, Job: id, Task: p.Task, Attempt: p.Attempt})
+			}
 		case !p.Seen && (all || p.SentAt == 0):
 			if p.Session != 0 && p.Session != m.Session {
 				continue
