Work within guarantees first, and stopping in the same order; room held at once

And stops were looked for after lesser work had taken the free machines. Excluded: holds that end too early. Guards: placement.TestStoppingIsAnOrder (fails without), placement.TestRunKeepsTheRules.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,11 +49,12 @@
 	lastView  time.Duration
 	lastMoves time.Duration
 	lastLook  time.Duration // for a reason to consolidate
-	lastStops time.Duration
-	looked    map[*ledger.Job]bool // prompt gangs for which room with their image was looked for
-	left      []*ledger.Job
-	holds     map[*ledger.Machine]*placement.Hold
-	aims      *placement.Aims
+	// When something to stop was last looked for, for jobs that wait: on
+	// machines with their image, and anywhere.
+	cleared, preempted map[*ledger.Job]time.Duration
+	left               []*ledger.Job
+	holds              map[*ledger.Machine]*placement.Hold
+	aims               *placement.Aims
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
@@ -190,7 +191,7 @@
 
 func (n *Node) lead(token uint64) {
 	f := &n.set.Facts
-	t := &term{n: n, token: token, looked: map[*ledger.Job]bool{}, holds: map[*ledger.Machine]*placement.Hold{}, lastMoves: -consolidateEvery, aims: placement.NewAims(f.Objectives)}
+	t := &term{n: n, token: token, cleared: map[*ledger.Job]time.Duration{}, preempted: map[*ledger.Job]time.Duration{}, holds: map[*ledger.Machine]*placement.Hold{}, lastMoves: -consolidateEvery, aims: placement.NewAims(f.Objectives)}
 	t.led = ledger.New(n.env, n.store, token, f.Teams)
 	t.fleet = fleet.New(n.env, t.led, n.store, token, fleet.Config{Cloud: n.set.External.Cloud, RPS: f.Cloud.RPS,
 		ListLag: seconds(f.Cloud.ListLagS), Report: seconds(f.Workers.ReportS), IdleKeep: 15 * time.Second, Patience: 45 * time.Second, Headroom: 0.5})
@@ -356,29 +357,26 @@
 	v.Machines = placement.Candidates(t.led, v)
 	placement.Release(v)
 	order := placement.Order(t.led, v, within)
-	stops := placement.NewStops(t.led, v)
-	due := now-t.lastStops >= stopEvery
+	stops := placement.NewStops(t.led, v, within)
 	for _, j := range order {
-		if !t.aims.Prompt(j) || j.Spec.Kind != model.Gang || t.holdsFor(j) {
-			continue
-		}
-		if due || !t.looked[j] {
-			t.looked[j] = true
+		if t.aims.Prompt(j) && j.Spec.Kind == model.Gang && t.mayStopFor(j, t.cleared) {
 			t.evict(j, stops.Clear(j, within[j]))
 		}
 	}
-	t.left = placement.Run(t.led, v, order)
+	t.left = placement.Run(t.led, v, order, func(j *ledger.Job) {
+		if (t.aims.Prompt(j) || within[j]) && t.mayStopFor(j, t.preempted) {
+			t.evict(j, stops.Preempt(j, within[j], false))
+		}
+	})
 	t.consolidate(v)
-	if due {
-		t.lastStops = now
-		t.preempt(v, within)
-	}
 	if now-t.lastRent >= rentEvery {
 		t.lastRent = now
 		t.fleet.Rent(t.left, v, t.aims, within)
-		for j := range t.looked {
-			if !placement.Waiting(j) {
-				delete(t.looked, j)
+		for _, looked := range []map[*ledger.Job]time.Duration{t.cleared, t.preempted} {
+			for j := range looked {
+				if !placement.Waiting(j) {
+					delete(looked, j)
+				}
 			}
 		}
 	}
@@ -393,14 +391,15 @@
 	return false
 }
 
-// preempt makes room for waiting work that is to start promptly.
-func (t *term) preempt(v *placement.View, within map[*ledger.Job]bool) {
-	stops := placement.NewStops(t.led, v)
-	for _, j := range t.left {
-		if (t.aims.Prompt(j) || within[j]) && !t.holdsFor(j) {
-			t.evict(j, stops.Preempt(j, within[j], false))
-		}
+// mayStopFor reports whether it is time to look for something to stop for the
+// job, and notes that it was done.
+func (t *term) mayStopFor(j *ledger.Job, looked map[*ledger.Job]time.Duration) bool {
+	now := t.n.env.Now()
+	if at, ok := looked[j]; ok && now-at < stopEvery || t.holdsFor(j) {
+		return false
 	}
+	looked[j] = now
+	return true
 }
 
 func (t *term) evict(j *ledger.Job, stop []*ledger.Placement) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -27,8 +27,9 @@
 	return m.Known && m.Heard && !m.Gone && !m.Leaving && !m.Notice && v.Now >= m.NoPlace && v.Now-m.LastHeard <= v.Silent
 }
 
-// Order lists the open jobs with idle tasks, most urgent first: priority, then
-// work within a team's guarantee, then jobs that can still meet an aim, then
+// Order lists the open jobs with idle tasks, most urgent first: work within a
+// team's guarantee, then priority (the order in which Stops lets work be
+// stopped, too), then jobs that can still meet an aim, then
 // the least work left. When there is too much work, going by age makes
 // everybody late; the small jobs first keeps the most of them in time. What
 // has waited long counts as smaller, so that nothing starves.
@@ -53,12 +54,12 @@
 		rs = append(rs, r)
 	}
 	slices.SortStableFunc(rs, func(x, y rank) int {
-		if c := cmp.Compare(y.j.Spec.Priority, x.j.Spec.Priority); c != 0 {
-			return c
-		}
 		if x.within != y.within {
 			return first(x.within)
 		}
+		if c := cmp.Compare(y.j.Spec.Priority, x.j.Spec.Priority); c != 0 {
+			return c
+		}
 		if x.lost != y.lost {
 			return first(y.lost)
 		}
@@ -104,13 +105,16 @@
 }
 
 // Run places what can be placed and returns the jobs that still wait, both in
-// the given order.
-func Run(l *ledger.Ledger, v *View, order []*ledger.Job) []*ledger.Job {
+// the given order. refused hears of each of them before the next is tried: room
+// that is to be made for a job must be held before lesser work takes the part
+// of it that is free.
+func Run(l *ledger.Ledger, v *View, order []*ledger.Job, refused func(*ledger.Job)) []*ledger.Job {
 	var left []*ledger.Job
 	r := newRoom(v)
 	for _, j := range order {
 		if !placeJob(l, v, r, j) {
 			left = append(left, j)
+			refused(j)
 		}
 	}
 	return left
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,143 @@
+package placement
+
+import (
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"brooklb/internal/actor"
+	"brooklb/internal/ledger"
+	"brooklb/internal/model"
+	"brooklb/internal/settings"
+	"brooklb/internal/statestore"
+)
+
+type env struct{ rng *rand.Rand }
+
+func (e env) Now() time.Duration                           { return time.Minute }
+func (e env) Wall() time.Time                              { return time.UnixMilli(60_000) }
+func (e env) Rand() *rand.Rand                             { return e.rng }
+func (e env) After(d time.Duration, f func()) *actor.Timer { return (&actor.Timers{}).Add(d, f) }
+func (e env) Call(actor.Call)                              {}
+func (e env) Log() *slog.Logger                            { return slog.New(slog.DiscardHandler) }
+
+// world is a ledger with machines of 8 GPUs in two zones and random jobs.
+type world struct {
+	l *ledger.Ledger
+	v *View
+	n int
+}
+
+func newWorld(seed uint64, machines int) *world {
+	e := env{rand.New(rand.NewPCG(seed, 1))}
+	l := ledger.New(e, statestore.New(e, statestore.Config{RPS: 1, WriteRPS: 1, Nodes: 1, TxnOps: 8, ValueBytes: 4096}), 1,
+		[]settings.Team{{Name: "red", GPUs: 24}, {Name: "blue", GPUs: 16, GPUsMax: 64}, {Name: "free"}})
+	l.Types["g8"] = &model.MachineType{Name: "g8", Cap: model.Need{CPUs: 96, GPUs: 8, MemGB: 500}, FetchGBs: 0.5}
+	for i := range machines {
+		m := l.Machine(fmt.Sprintf("m%03d", i))
+		m.Heard, m.LastHeard = true, e.Now()
+		l.Describe(m, "g8", []string{"x", "y"}[i%2], i%3 == 0)
+	}
+	w := &world{l: l, v: &View{Now: e.Now(), Silent: time.Minute, Holds: map[*ledger.Machine]*Hold{}, Aims: NewAims(nil)}}
+	w.v.Machines = Candidates(l, w.v)
+	return w
+}
+
+func (w *world) job(s model.Spec) *ledger.Job {
+	w.n++
+	s.ID = fmt.Sprintf("j-%d", w.n)
+	rec := ledger.NewRecord(&s, int64(w.n), "", 48)
+	w.l.JobEvent(ledger.JobKey(s.ID), &statestore.Item{Value: rec.Encode(), Stamp: uint64(w.n)})
+	return w.l.Jobs[s.ID]
+}
+
+func (w *world) random(r *rand.Rand) *ledger.Job {
+	s := model.Spec{Team: []string{"red", "blue", "free"}[r.IntN(3)], Tasks: 1 + r.IntN(6), Image: "i", CheckpointS: 5, SaveS: 1,
+		Priority: model.Priority(r.IntN(4)), Need: model.Need{CPUs: 1, GPUs: float64(1 + r.IntN(4)), MemGB: 1}, Spot: true, EstimateS: 60}
+	if r.IntN(3) == 0 {
+		s.Kind, s.OneZone, s.Need.GPUs = model.Gang, r.IntN(2) == 0, 8
+		s.Tasks = 1 + r.IntN(3)
+	}
+	return w.job(s)
+}
+
+// TestStoppingIsAnOrder guards against work that takes turns in stopping each
+// other: what may stop a task could never be stopped by that task's own job.
+func TestStoppingIsAnOrder(t *testing.T) {
+	pairs := 0
+	for seed := uint64(0); seed < 200; seed++ {
+		r := rand.New(rand.NewPCG(seed, 2))
+		w := newWorld(seed, 12)
+		for range 12 {
+			w.random(r)
+		}
+		within := Within(w.l)
+		Run(w.l, w.v, Order(w.l, w.v, within), func(*ledger.Job) {})
+		st := NewStops(w.l, w.v, within)
+		for _, a := range w.l.Order() {
+			for _, b := range w.l.Order() {
+				pa, pb := a.Tasks[0].P, b.Tasks[0].P
+				if a == b || pa == nil || pb == nil {
+					continue
+				}
+				if st.mayStop(a, within[a], pb) {
+					pairs++
+					if st.mayStop(b, within[b], pa) {
+						t.Fatalf("seed %d: %s and %s may stop each other", seed, a.Spec.ID, b.Spec.ID)
+					}
+				}
+			}
+		}
+	}
+	if pairs < 1000 {
+		t.Errorf("only %d pairs", pairs)
+	}
+}
+
+// TestRunKeepsTheRules holds a run of placements to fit, limits, zones and
+// holds, and to leaving nothing out that would fit.
+func TestRunKeepsTheRules(t *testing.T) {
+	placed := 0
+	for seed := uint64(0); seed < 300; seed++ {
+		r := rand.New(rand.NewPCG(seed, 3))
+		w := newWorld(seed, 4+r.IntN(20))
+		for range 3 + r.IntN(25) {
+			w.random(r)
+		}
+		held := w.v.Machines[0]
+		w.v.Holds[held] = &Hold{Job: w.l.Order()[0], Until: time.Hour}
+		left := Run(w.l, w.v, Order(w.l, w.v, Within(w.l)), func(*ledger.Job) {})
+		for _, m := range w.v.Machines {
+			if !(model.Need{}).Fits(m.Free()) {
+				t.Fatalf("seed %d: %s is over-full: %+v", seed, m.Name, m.Free())
+			}
+			for _, p := range m.P {
+				placed++
+				if m == held && p.Job != w.v.Holds[held].Job {
+					t.Fatalf("seed %d: held room was taken", seed)
+				}
+				if s := p.Job.Spec; s.Kind == model.Gang && s.OneZone && m.Zone != p.Job.Tasks[0].P.M.Zone {
+					t.Fatalf("seed %d: a gang is in two zones", seed)
+				}
+			}
+		}
+		if u := w.l.Teams["blue"].Used.GPUs; u > 64 {
+			t.Fatalf("seed %d: blue uses %v GPUs", seed, u)
+		}
+		for _, j := range left {
+			if j.Spec.Kind == model.Gang || !w.l.Teams[j.Spec.Team].Within(j.Spec.Need) {
+				continue
+			}
+			for _, m := range w.v.Machines {
+				if j.Spec.Need.Fits(m.Free()) && w.v.mayTake(j, m) {
+					t.Fatalf("seed %d: a task of %s would fit on %s", seed, j.Spec.ID, m.Name)
+				}
+			}
+		}
+	}
+	if placed < 3000 {
+		t.Errorf("only %d tasks placed", placed)
+	}
+}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -24,8 +24,9 @@
 	holdFor = 20 * time.Second
 	// A start that is stopped this soon counts for nobody.
 	freshStart = 30 * time.Second
-	// Seconds that stopping work of equal priority counts more.
-	equalPenalty = 60
+	// Seconds that stopping work of equal priority counts more. A machine may
+	// be full of small tasks that each cost some seconds: they go first still.
+	equalPenalty = 1000
 )
 
 type victim struct {
@@ -60,26 +61,31 @@
 	return cost + 3, true
 }
 
-// mayStop says whether a job may take the place of a task: work of higher
-// priority may, and work within its team's guarantee may where another team
-// runs beyond its own.
-func mayStop(l *ledger.Ledger, j *ledger.Job, within bool, p *ledger.Placement) bool {
+// mayStop says whether a job may take the place of a task. What runs within its
+// team's guarantee yields to nobody but what does so too; within and beyond the
+// guarantees alike, work yields to higher priority; and what runs beyond
+// yields, whatever its priority, to another team's claim within. That is an
+// order: if work of high priority beyond its team's guarantee could stop what
+// is within, and the other way round, the two would take turns (tbilisi grown,
+// rough: a task stopped fifty times).
+func (st *Stops) mayStop(j *ledger.Job, within bool, p *ledger.Placement) bool {
 	if p.Job == j || p.Job.Final != ledger.Open {
 		return false
 	}
-	if p.Job.Spec.Priority < j.Spec.Priority {
-		return true
+	lower := p.Job.Spec.Priority < j.Spec.Priority
+	other := st.within[p.Job]
+	if p.Job.Spec.Team == j.Spec.Team || within == other {
+		return lower
 	}
-	if !within || p.Job.Spec.Team == j.Spec.Team {
+	if other {
 		return false
 	}
-	t := l.Teams[p.Job.Spec.Team]
-	if t == nil || (t.CPUs <= 0 && t.GPUs <= 0) {
-		return t != nil
+	t := st.l.Teams[p.Job.Spec.Team]
+	if lower || t == nil || (t.CPUs <= 0 && t.GPUs <= 0) {
+		return true
 	}
 	u := t.Used
-	over := (t.GPUs > 0 && u.GPUs-p.Job.Spec.Need.GPUs >= t.GPUs-1e-6) || (t.CPUs > 0 && u.CPUs-p.Job.Spec.Need.CPUs >= t.CPUs-1e-6)
-	return over
+	return (t.GPUs > 0 && u.GPUs-p.Job.Spec.Need.GPUs >= t.GPUs-1e-6) || (t.CPUs > 0 && u.CPUs-p.Job.Spec.Need.CPUs >= t.CPUs-1e-6)
 }
 
 // Stops looks for tasks to stop, for several jobs in one go. What a machine
@@ -87,12 +93,14 @@
 type Stops struct {
 	l      *ledger.Ledger
 	v      *View
+	within map[*ledger.Job]bool
 	on     map[*ledger.Machine]*stoppable
 	failed []noStop
 }
 
 // stoppable is what a machine could give up, whoever asks.
 type stoppable struct {
+	tasks   int        // on the machine, when this was found out
 	free    model.Need // with what is being stopped already
 	victims []victim   // by loss
 }
@@ -106,15 +114,15 @@
 }
 
 // NewStops begins a round of Preempt and Clear on a view.
-func NewStops(l *ledger.Ledger, v *View) *Stops {
-	return &Stops{l: l, v: v, on: map[*ledger.Machine]*stoppable{}}
+func NewStops(l *ledger.Ledger, v *View, within map[*ledger.Job]bool) *Stops {
+	return &Stops{l: l, v: v, within: within, on: map[*ledger.Machine]*stoppable{}}
 }
 
 func (st *Stops) of(m *ledger.Machine) *stoppable {
-	if s := st.on[m]; s != nil {
+	if s := st.on[m]; s != nil && s.tasks == len(m.P) {
 		return s
 	}
-	s := &stoppable{free: m.Free()}
+	s := &stoppable{tasks: len(m.P), free: m.Free()}
 	for _, p := range m.P {
 		if p.Stopping {
 			s.free = s.free.Add(p.Job.Spec.Need)
@@ -194,7 +202,7 @@
 		vs = vs[:0]
 		equal := false
 		for _, x := range on.victims {
-			if mayStop(l, j, within, x.p) {
+			if st.mayStop(j, within, x.p) {
 				if x.p.Job.Spec.Priority >= s.Priority {
 					// It waits for the same kind of room then: the last resort.
 					x.loss += equalPenalty
