Changes gather; some are left for users; unanswered transactions are repeated sooner

With a slow state service, what got no answer was written again after 1.5 s, while the user's second had passed. Excluded: the service's own refusals (19).

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -171,7 +171,7 @@
 		reply(refuse(400, 0, "the description is too long"))
 		return
 	}
-	a.create(s, t, nonce, 1, reply)
+	a.create(s, t, nonce, 4, reply)
 }
 
 func (a *Actor) create(s *model.Spec, t wire.Txn, nonce string, tries int, reply func(httpx.Response)) {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -687,25 +687,37 @@
 }
 
 const (
-	// What nobody waits for is written when the budget has room to spare, and
-	// after this long whether it has or not.
-	lazyFor = 10 * time.Second
-	// The part of the budget that is kept for what somebody waits for.
-	lazyKeep = 0.5
+	// Starts nobody waits impatiently for gather for this long: the next ones
+	// of the same job are then in the same change.
+	gatherFor = 400 * time.Millisecond
+	// Marks that only spare work after a failure gather for this long, and are
+	// written whether the budget has room to spare or not after lazyFor.
+	markAfter = 5 * time.Second
+	lazyFor   = 15 * time.Second
+	// The part of the budget that is kept for what somebody waits for, and the
+	// changes that are left for users who come to this node.
+	lazyKeep   = 0.5
+	userWrites = 3
+	// Ranks from here on are written from the spare part of the budget only.
+	lazyRank = 10
 )
 
 // rank orders what is to be written by what people wait for: starts of higher
-// priority, other starts, then what only spares work after a failure, then
-// what is merely in the way.
-func (l *Ledger) rank(d dirtyRef, now time.Duration) int {
+// priority, other starts, then what is merely in the way, then what only spares
+// work after a failure. ok is false while it may gather more.
+func (l *Ledger) rank(d dirtyRef, now time.Duration) (rank int, ok bool) {
 	c := &d.job.chunks[d.n]
+	age := now - c.since
+	prio := d.job.Spec.Priority
 	switch {
 	case d.job.Final != Open:
-		return 20
-	case c.urgent || now-c.since > lazyFor:
-		return int(model.Production - d.job.Spec.Priority)
+		return lazyRank, true
+	case c.urgent:
+		return int(model.Production - prio), prio >= model.High || age >= gatherFor
+	case age > lazyFor:
+		return int(model.Production) + 1, true
 	}
-	return 10
+	return lazyRank + 1, age >= markAfter
 }
 
 // flush writes what is to be written, one transaction at a time, as much as the
@@ -718,7 +730,7 @@
 		return
 	}
 	now := l.env.Now()
-	budget := l.store.WriteRoom()
+	budget := l.store.WriteRoom() - min(userWrites, l.store.WriteBurst()/4)
 	ops := min(l.MaxOps, int(budget))
 	if ops < 1 {
 		l.wait(80 * time.Millisecond)
@@ -757,20 +769,25 @@
 		}
 	}
 	l.ends = keepEnds
+	var rest []dirtyRef
 	ranks := make([]int, len(l.dirty))
-	order := make([]int, len(l.dirty))
+	order := make([]int, 0, len(l.dirty))
 	for i, d := range l.dirty {
-		ranks[i], order[i] = l.rank(d, now), i
+		var ok bool
+		if ranks[i], ok = l.rank(d, now); ok {
+			order = append(order, i)
+		} else if l.Jobs[d.job.Spec.ID] == d.job {
+			rest = append(rest, d)
+		}
 	}
 	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(ranks[a], ranks[b]) })
-	var rest []dirtyRef
 	for _, i := range order {
 		d := l.dirty[i]
 		j, c := d.job, &d.job.chunks[d.n]
 		if l.Jobs[j.Spec.ID] != j {
 			continue
 		}
-		lazy := ranks[i] >= 10 && len(t.Apply) >= spare
+		lazy := ranks[i] >= lazyRank && len(t.Apply) >= spare
 		if j.closing || lazy || full() {
 			rest = append(rest, d)
 			continue
--- a/internal/statestore/store.go
+++ b/internal/statestore/store.go
@@ -86,8 +86,11 @@
 }
 
 const (
-	readTimeout   = 1200 * time.Millisecond
-	commitTimeout = 1500 * time.Millisecond
+	readTimeout = 1200 * time.Millisecond
+	// A transaction without an answer is written again after this long: with
+	// the same conditions, whichever copy comes first makes the other fail.
+	commitTimeout = 700 * time.Millisecond
+	userTimeout   = 350 * time.Millisecond // somebody waits for it
 	watchBlock    = 2 * time.Second
 	watchGap      = 150 * time.Millisecond // least time between watches of a node that doesn't lead
 	leaderGap     = 40 * time.Millisecond
@@ -495,7 +498,11 @@
 		refuse()
 		return
 	}
-	s.call("POST", wire.PathCommit, wire.Encode(t), commitTimeout, func(a actor.Answer) {
+	timeout := commitTimeout
+	if !own {
+		timeout = userTimeout
+	}
+	s.call("POST", wire.PathCommit, wire.Encode(t), timeout, func(a actor.Answer) {
 		o, err := wire.DecodeOutcome(a.Body, a.Status == 409)
 		switch {
 		case a.Unsent():
