Gangs keep off spot machines by what a loss would cost them

Change: a machine's rating counts the risk of being taken, learned from notices and losses over machine hours, times what would be lost, for a gang by all its tasks; what loses little gets the price's advantage in seconds. Guard: placement.TestSpotRisk.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -292,6 +292,9 @@
 		}
 		m.Missing++
 		if m.Missing >= 2 {
+			if m.Spot && m.Heard && !m.Notice && !m.Leaving {
+				a.led.SpotTaken++
+			}
 			a.Return(m, "not listed any more")
 		}
 	}
@@ -357,6 +360,11 @@
 			}
 		}
 	}
+	for _, m := range a.led.Sorted() {
+		if m.Spot && m.Heard {
+			a.led.SpotHours += 1.0 / 3600 // called once a second
+		}
+	}
 	fence := max(10*time.Second, 7*a.cfg.Report/2)
 	idle := 0
 	for _, m := range a.led.Sorted() {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -160,14 +160,17 @@
 	// Returned has the machines that the cloud says are gone. Their reports
 	// and list entries may still be on their way; names are not used again.
 	Returned map[string]bool
-	order    []*Job
-	dirty    []dirtyRef
-	ends     []*Job   // done, which is to be written
-	orphans  []orphan // chunks of jobs that are over
-	flying   bool
-	stopped  bool
-	loading  bool
-	resting  *actor.Timer
+	// What was seen of spot machines being taken back: how many, and over how
+	// many machine hours.
+	SpotTaken, SpotHours float64
+	order                []*Job
+	dirty                []dirtyRef
+	ends                 []*Job   // done, which is to be written
+	orphans              []orphan // chunks of jobs that are over
+	flying               bool
+	stopped              bool
+	loading              bool
+	resting              *actor.Timer
 	// Hooks of the term.
 	OnDurable func(p []*Placement)
 	OnChange  func()
@@ -218,6 +221,10 @@
 	l.resting.Stop()
 }
 
+// SpotRisk is how likely a spot machine is to be taken back, per second. Until
+// more is seen it counts as once an hour.
+func (l *Ledger) SpotRisk() float64 { return (1 + l.SpotTaken) / (1 + l.SpotHours) / 3600 }
+
 // Order lists the open jobs in the order of their acceptance.
 func (l *Ledger) Order() []*Job { return l.order }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -409,11 +409,38 @@
 		s += 5
 	}
 	if m.Spot {
-		s += 2
+		s += spotGain - spotLoss(l, j)
 	}
 	return s
 }
 
+const (
+	// Seconds that a spot machine's price is worth: what loses little by being
+	// taken away goes there and leaves the others to gangs.
+	spotGain = 10
+	// Seconds until a task that lost its machine runs again.
+	restart = 20
+)
+
+// spotLoss is how many seconds of work are lost on average if one task of the
+// job runs on a spot machine. If that is taken away a gang stops as a whole.
+func spotLoss(l *ledger.Ledger, j *ledger.Job) float64 {
+	s := j.Spec
+	lost := s.EstimateS / 2
+	if s.CheckpointS > 0 {
+		lost = min(lost, s.CheckpointS/2+s.SaveS)
+	}
+	lost += restart
+	run := s.EstimateS
+	if s.Kind == model.Service {
+		run = 3600
+	}
+	if s.Kind == model.Gang {
+		lost *= float64(len(j.Tasks))
+	}
+	return l.SpotRisk() * run * lost
+}
+
 func placeGang(l *ledger.Ledger, v *View, r *room, j *ledger.Job, team *ledger.Team) bool {
 	if j.Placed > 0 {
 		j.Waits = "its last attempt isn't gone yet"
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -141,3 +141,24 @@
 		t.Errorf("only %d tasks placed", placed)
 	}
 }
+
+// TestSpotRisk guards against gangs on spot machines, of which one that is
+// taken stops all the others, and against spot machines that stay unused.
+func TestSpotRisk(t *testing.T) {
+	w := newWorld(1, 24) // 8 of them spot machines
+	gang := w.job(model.Spec{Team: "free", Kind: model.Gang, Tasks: 12, Need: model.Need{GPUs: 8}, Image: "i", EstimateS: 100, CheckpointS: 45, SaveS: 5, Spot: true})
+	array := w.job(model.Spec{Team: "free", Tasks: 32, Need: model.Need{GPUs: 1}, Image: "i", EstimateS: 100, CheckpointS: 10, SaveS: 1, Spot: true})
+	Run(w.l, w.v, []*ledger.Job{gang, array}, func(j *ledger.Job) { t.Errorf("%s waits", j.Spec.ID) })
+	for _, m := range w.v.Machines {
+		for _, p := range m.P {
+			if m.Spot != (p.Job == array) {
+				t.Errorf("a task of %s is on %s, spot %v", p.Job.Spec.ID, m.Name, m.Spot)
+			}
+		}
+	}
+	before := w.l.SpotRisk()
+	w.l.SpotTaken, w.l.SpotHours = 50, 4
+	if w.l.SpotRisk() < 5*before {
+		t.Errorf("a wave changed the risk from %v to %v only", before, w.l.SpotRisk())
+	}
+}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -184,6 +184,7 @@
 		cost  float64
 	}
 	byZone := map[string][]option{}
+	risk := spotLoss(l, j)
 	slots := map[string]int{}
 	var zs []string
 	var vs []victim
@@ -233,6 +234,9 @@
 				o.cost += s.ImageGB / t.FetchGBs / 2
 			}
 		}
+		if m.Spot {
+			o.cost += risk * float64(o.slots)
+		}
 		z := ""
 		if s.OneZone {
 			z = m.Zone
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -155,6 +155,9 @@
 	}
 	a.trim(m)
 	if notice {
+		if m.Spot {
+			a.led.SpotTaken++
+		}
 		a.env.Log().Info("machine is to be taken away", "machine", m.Name, "in_s", r.NoticeS)
 		a.drain(m, r.NoticeS)
 	}
