A task lost before its gang began is replaced within the attempt

Change: while a gang is forming, only the lost task is replaced, with the same attempt, as the protocol allows; after 25 s without a replacement the gang is started anew. Refused attempts are not repeated on a worker that knows them.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -338,7 +338,7 @@
 		for _, n := range names {
 			delete(a.want, n)
 			if m := a.led.Machines[n]; m != nil {
-				a.led.Remove(m, "its machine was returned")
+				a.led.Remove(m, ledger.CauseReturned)
 			}
 		}
 		if a.OnChange != nil {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -57,10 +57,12 @@
 	Why     string
 	Waits   string // why the job currently can't be placed
 	Started bool   // gang: seen running in this attempt
-	per     int    // tasks in a chunk
-	ending  bool   // in the queue of jobs whose end is to be written
-	closing bool   // the final record is being written
-	broken  bool   // a record of it can't be read: it is left alone
+	// Short is since when a gang that has not begun lacks a task of its attempt.
+	Short   time.Duration
+	per     int  // tasks in a chunk
+	ending  bool // in the queue of jobs whose end is to be written
+	closing bool // the final record is being written
+	broken  bool // a record of it can't be read: it is left alone
 	erred   map[*Machine]bool
 	next    int // hint for the first task that may be idle
 }
@@ -459,8 +461,14 @@
 func (l *Ledger) Plan(j *Job, task int, attempt uint64, m *Machine) *Placement {
 	t := &j.Tasks[task]
 	t.Attempt = attempt
+	if j.Placed == 0 {
+		j.Started = false
+	}
 	p := &Placement{Job: j, Task: task, Attempt: attempt, M: m, Since: l.env.Now()}
 	l.occupy(p)
+	if j.Placed == len(j.Tasks) {
+		j.Short = 0
+	}
 	l.touch(j, task, true)
 	return p
 }
@@ -569,9 +577,17 @@
 				someDone = true
 			}
 		}
-		if someDone {
+		switch {
+		case someDone:
 			l.Finished(j, p.Task)
-		} else {
+		case l.replaceable(p, why):
+			// The others keep waiting; a replacement with the same attempt
+			// number completes the gang.
+			j.Tasks[p.Task].Avoid = p.M
+			if j.Short == 0 {
+				j.Short = l.env.Now()
+			}
+		default:
 			l.breakGang(j, why)
 		}
 	}
@@ -582,10 +598,53 @@
 	}
 }
 
+// replaceable reports whether a task that is gone may be replaced within its
+// gang's attempt: the gang has not begun to run, nothing of it is being stopped,
+// and the worker did not refuse the attempt (it would know it still).
+func (l *Ledger) replaceable(p *Placement, why string) bool {
+	j := p.Job
+	switch why {
+	case model.CauseLost, model.CauseSession, model.CauseError, model.CauseStopped, CauseReturned:
+	default:
+		return false
+	}
+	return Forming(j) && j.Placed > 0 && p.Durable && p.Phase != model.Running && p.Phase != model.Saving &&
+		(why != model.CauseError || j.Tasks[p.Task].Errors <= 1)
+}
+
+// CauseReturned is why the tasks of a machine that was given back are gone.
+const CauseReturned = "its machine was returned"
+
+// Forming reports whether the gang's attempt may still come together: it has
+// not begun, and nothing of it is being stopped.
+func Forming(j *Job) bool {
+	if j.Spec.Kind != model.Gang || j.Final != Open || j.Broken || j.Started {
+		return false
+	}
+	attempt := uint64(0)
+	for i := range j.Tasks {
+		q := j.Tasks[i].P
+		if j.Tasks[i].Done {
+			return false
+		}
+		if q == nil {
+			continue
+		}
+		if q.Stopping || q.Phase == model.Running || q.Phase == model.Saving || (attempt != 0 && q.Attempt != attempt) {
+			return false
+		}
+		attempt = q.Attempt
+	}
+	return true
+}
+
+// GiveUp stops what is there of a gang that lacks a task for too long.
+func (l *Ledger) GiveUp(j *Job) { l.breakGang(j, "no replacement was found in time") }
+
 // breakGang stops what is left of a gang. The next attempt may begin when all
 // of the old one is gone everywhere.
 func (l *Ledger) breakGang(j *Job, why string) {
-	j.Started = false
+	j.Started, j.Short = false, 0
 	if j.Placed == 0 {
 		j.Broken = false
 		return
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -79,6 +79,10 @@
 	return 1
 }
 
+// shortFor is how long a gang that has not begun waits for the replacement of a
+// lost task; its other machines stand idle meanwhile.
+const shortFor = 25 * time.Second
+
 // starve is how long a job waits until it counts as half its size.
 const starve = time.Minute
 
@@ -442,10 +446,15 @@
 }
 
 func placeGang(l *ledger.Ledger, v *View, r *room, j *ledger.Job, team *ledger.Team) bool {
-	if j.Placed > 0 {
+	if j.Placed > 0 && !ledger.Forming(j) {
 		j.Waits = "its last attempt isn't gone yet"
 		return false
 	}
+	if j.Placed > 0 && j.Short > 0 && v.Now-j.Short > shortFor {
+		j.Waits = "a task that was lost could not be replaced in time"
+		l.GiveUp(j)
+		return false
+	}
 	attempt := uint64(0)
 	n := 0
 	for i := range j.Tasks {
@@ -454,11 +463,14 @@
 			j.Waits = "waits after a failure"
 			return false
 		}
-		if !t.Done {
+		if !t.Done && t.P == nil {
 			n++
 		}
 		attempt = max(attempt, t.Attempt)
 	}
+	if j.Placed == 0 {
+		attempt++ // else a replacement in the attempt that waits for it
+	}
 	if !team.Within(j.Spec.Need.Times(float64(n))) {
 		j.Waits = "the team's limit is used up"
 		return false
@@ -478,8 +490,8 @@
 	}
 	k := 0
 	for i := range j.Tasks {
-		if !j.Tasks[i].Done {
-			l.Plan(j, i, attempt+1, top[k])
+		if !j.Tasks[i].Done && j.Tasks[i].P == nil {
+			l.Plan(j, i, attempt, top[k])
 			k++
 		}
 	}
@@ -498,6 +510,21 @@
 	return false
 }
 
+// homeZone is the zone that the job's placements bind it to, "" for none;
+// known is false while one of them is on a machine whose zone isn't known.
+func homeZone(j *ledger.Job) (zone string, known bool) {
+	count, ok := zones(j)
+	if !ok {
+		return "", false
+	}
+	if j.Spec.OneZone {
+		for z := range count {
+			return z, true
+		}
+	}
+	return "", true
+}
+
 // pickGang finds machines for n tasks of a gang, all in one zone if the job
 // asks for that: the zone where the slowest of them is fastest. plain says that
 // what was left out was so for lack of room, not for this job alone.
@@ -509,6 +536,11 @@
 			avoid = append(avoid, a)
 		}
 	}
+	home, known := homeZone(j)
+	if !known {
+		return nil, false
+	}
+	count, _ := zones(j)
 	warm := v.warmHold(j)
 	var fits []*ledger.Machine
 	slots := map[string]int{}
@@ -517,6 +549,10 @@
 		if !j.Spec.Need.Fits(free) || !Allowed(j, m) || !v.mayTake(j, m) {
 			continue
 		}
+		if home != "" && m.Zone != home {
+			plain = false
+			continue
+		}
 		cold := false
 		if warm && v.Holds[m] == nil {
 			_, has := m.Images[j.Spec.Image]
@@ -544,7 +580,6 @@
 	}
 	slices.SortStableFunc(cs, func(a, b choice) int { return cmp.Compare(b.s, a.s) })
 	picks := map[string][]*ledger.Machine{}
-	count := map[string]int{}
 	for _, c := range cs {
 		z := ""
 		if j.Spec.OneZone {
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -155,7 +155,8 @@
 	s := j.Spec
 	team := l.Teams[s.Team]
 	n := len(j.Tasks) - j.NDone - j.Placed
-	if team == nil || n == 0 || j.Placed > 0 && s.Kind == model.Gang {
+	home, known := homeZone(j)
+	if team == nil || n == 0 || !known || j.Placed > 0 && s.Kind == model.Gang && !ledger.Forming(j) {
 		return nil
 	}
 	if s.Kind == model.Gang {
@@ -189,7 +190,7 @@
 	var zs []string
 	var vs []victim
 	for _, m := range v.Machines {
-		if !Allowed(j, m) || !v.mayTake(j, m) {
+		if !Allowed(j, m) || !v.mayTake(j, m) || (home != "" && m.Zone != home) {
 			continue
 		}
 		if _, ok := m.Images[s.Image]; warm && !ok {
@@ -272,7 +273,7 @@
 			best, bestCost = pick, cost
 		}
 	}
-	if best == nil {
+	if best == nil && home == "" {
 		st.failed = append(st.failed, noStop{j, n, within, image})
 	}
 	var out []*ledger.Placement
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -264,3 +264,40 @@
 		w.verdict(t, 1)
 	}
 }
+
+// TestGangReplacement guards against a gang that starts anew because one of its
+// machines was lost before it had begun: a replacement joins the attempt.
+func TestGangReplacement(t *testing.T) {
+	for _, s := range seeds(t, 6) {
+		w := world(s)
+		w.At(5*time.Second, func() {
+			w.Submit(Job{ID: "j-1", Shape: "ensemble", Team: "free", Image: "large", ImageGB: 40, Tasks: 4, CPUs: 16, RunS: 20, SamePlace: s%3 == 0})
+		})
+		lost := false
+		var lose func()
+		lose = func() {
+			ms := w.Machines()
+			for _, m := range ms {
+				for _, r := range m.sorted() {
+					if r.phase == "pulling" && w.now-r.from > 3*time.Second {
+						lost = true
+						if s%2 == 0 {
+							m.Die()
+						} else {
+							w.Cloud.Take(m, 6*time.Second)
+						}
+						return
+					}
+				}
+			}
+			w.after(time.Second, lose)
+		}
+		w.At(6*time.Second, lose)
+		w.Run(400 * time.Second)
+		w.verdict(t, 1)
+		// In one zone there may be no machine for it in time.
+		if !lost || (s%3 != 0 && len(w.gangs) != 1) {
+			t.Errorf("seed %d: lost %v, %d attempts", s, lost, len(w.gangs))
+		}
+	}
+}
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -135,6 +135,7 @@
 			p.Phase = t.Phase
 			if t.Phase == model.Running {
 				p.RunSince = now
+				j.Started = true
 			}
 		}
 		if t.Phase == model.Running || t.Phase == model.Waiting || t.Phase == model.Saving || t.Cause == model.CauseDone {
@@ -278,14 +279,11 @@
 // keeps its attempt and its place; its image is there.
 func (a *Actor) again(p *ledger.Placement) bool {
 	j := p.Job
-	if j.Spec.Kind != model.Gang || j.Final != ledger.Open || j.Broken || p.Stopping || (!p.Again && p.Retries >= mostAgain) || a.mayArrive(p.M, p) {
+	if (!p.Again && p.Retries >= mostAgain) || a.mayArrive(p.M, p) {
 		return false
 	}
-	for i := range j.Tasks {
-		q := j.Tasks[i].P
-		if q == nil || q.Attempt != p.Attempt || q.Stopping || q.Phase == model.Running || q.Phase == model.Saving {
-			return false
-		}
+	if !ledger.Forming(j) {
+		return false
 	}
 	if !p.Again {
 		p.Again = true
@@ -347,6 +345,10 @@
 		a.led.Stop(p, grace(p), why)
 		return
 	}
+	if len(p.Job.Tasks) > 1 && ledger.Forming(p.Job) {
+		a.led.Stop(p, 0, why) // the others wait for its replacement
+		return
+	}
 	for i := range p.Job.Tasks {
 		if q := p.Job.Tasks[i].P; q != nil && !q.Stopping {
 			a.led.Stop(q, grace(q), why)
