Only what can meet no aim any more ages, and gives up its guarantee's place

Cause: in a burst beyond a team's limit, large jobs that had waited for minutes counted as small and went before small ones that were still in time.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -49,8 +49,13 @@
 		r := rank{j: j, within: in, lost: v.Aims != nil && v.Aims.Lost(j, in, v.Now)}
 		n := float64(len(j.Tasks) - j.NDone)
 		size := max(j.Spec.Need.CPUs, j.Spec.Need.GPUs, 1)
-		waited := max(0, v.Now-j.Since).Seconds()
-		r.work = n * size * max(1, j.Spec.EstimateS) / (1 + waited/starve.Seconds())
+		r.work = n * size * max(1, j.Spec.EstimateS)
+		if r.lost {
+			// Being first no longer helps it to anything that was promised.
+			r.within = false
+			waited := max(0, v.Now-j.Since).Seconds()
+			r.work /= 1 + waited/starve.Seconds()
+		}
 		rs = append(rs, r)
 	}
 	slices.SortStableFunc(rs, func(x, y rank) int {
