--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -22,6 +22,8 @@
 const (
 	// Room made for a job is kept for it this long.
 	holdFor = 20 * time.Second
+	// The rate of fetches is given or take a third.
+	slowFetch = 1.5
 	// A start that is stopped this soon counts for nobody.
 	freshStart = 30 * time.Second
 	// Seconds that stopping work of equal priority counts more. A machine may
@@ -327,5 +329,5 @@
 	if _, ok := m.Images[j.Spec.Image]; ok || t == nil || t.FetchGBs <= 0 {
 		return 0
 	}
-	return time.Duration(j.Spec.ImageGB / t.FetchGBs * float64(time.Second))
+	return time.Duration(j.Spec.ImageGB / t.FetchGBs * slowFetch * float64(time.Second))
 }
