--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -27,11 +27,29 @@
 	P         *Placement
 	NotBefore time.Duration
 	Errors    int
-	Avoid     *Machine // machine the task failed on last
+	avoid     *Machine // machine the task failed on, or was lost with, last
+	avoidEnds time.Duration
 	Want      *Machine // machine it is being moved to
 	WantUntil time.Duration
 }
 
+// Avoid keeps the task off a machine until the given time. Not for ever: when
+// the machines of all tasks of a gang were avoided and there were no others, it
+// never started, since room seemed to be there and none was rented.
+func (t *Task) Avoid(m *Machine, until time.Duration) { t.avoid, t.avoidEnds = m, until }
+
+// Avoids is the machine that the task is kept off now, if any.
+func (t *Task) Avoids(now time.Duration) *Machine {
+	if now >= t.avoidEnds {
+		return nil
+	}
+	return t.avoid
+}
+
+// shortAvoid is how long the replacement of a gang's task keeps off the machine
+// that lost it, whose worker may know the attempt still.
+const shortAvoid = 30 * time.Second
+
 // chunk is the durable form of some tasks.
 type chunk struct {
 	stamp    uint64
@@ -583,7 +601,7 @@
 		case l.replaceable(p, why):
 			// The others keep waiting; a replacement with the same attempt
 			// number completes the gang.
-			j.Tasks[p.Task].Avoid = p.M
+			j.Tasks[p.Task].Avoid(p.M, l.env.Now()+shortAvoid)
 			if j.Short == 0 {
 				j.Short = l.env.Now()
 			}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -283,7 +283,7 @@
 			}
 			heap.Init(&h)
 		}
-		plain = plain && t.Avoid == nil
+		plain = plain && t.Avoids(v.Now) == nil
 		m := h.next(l, v, j, t, count)
 		if m == nil {
 			j.Waits = "no machine has room"
@@ -364,7 +364,7 @@
 	}()
 	for len(h.cs) > 0 {
 		c := heap.Pop(h).(choice)
-		if c.m == t.Avoid || !zoneAllows(j, count, c.m.Zone) {
+		if c.m == t.Avoids(v.Now) || !zoneAllows(j, count, c.m.Zone) {
 			back = append(back, c)
 			continue
 		}
@@ -537,7 +537,7 @@
 	plain = true
 	var avoid []*ledger.Machine
 	for i := range j.Tasks {
-		if a := j.Tasks[i].Avoid; a != nil {
+		if a := j.Tasks[i].Avoids(v.Now); a != nil {
 			avoid = append(avoid, a)
 		}
 	}
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -11,13 +11,22 @@
 	"brooklb/internal/settings"
 )
 
-func world(seed uint64) *World {
+func world(seed uint64) *World { return worldOf(Config{Seed: seed, Nodes: 3}) }
+
+// seven is a world like lumiar's grown deployment: seven controllers in two
+// zones, workers in a third, and a state service that is smaller.
+func seven(seed uint64) *World {
+	return worldOf(Config{Seed: seed, Nodes: 7, NodeZones: []string{"a", "b"}, RPS: 120, WriteRPS: 25})
+}
+
+func worldOf(c Config) *World {
 	log := slog.New(slog.DiscardHandler)
 	if os.Getenv("SIM_LOG") != "" {
 		log = slog.New(slog.NewTextHandler(os.Stdout, &slog.HandlerOptions{Level: slog.LevelDebug}))
 	}
-	return New(Config{Seed: seed, Nodes: 3, Zones: []string{"a", "b", "c"}, Capacity: 8, Initial: 6, CPUs: 16, GPUs: 4, BootS: 15, Log: log,
-		Teams: []settings.Team{{Name: "red", CPUs: 60, CPUsMax: 160}, {Name: "blue", GPUs: 8, GPUsMax: 20}, {Name: "free"}}})
+	c.Zones, c.Capacity, c.Initial, c.CPUs, c.GPUs, c.BootS, c.Log = []string{"a", "b", "c"}, 8, 6, 16, 4, 15, log
+	c.Teams = []settings.Team{{Name: "red", CPUs: 60, CPUsMax: 160}, {Name: "blue", GPUs: 8, GPUsMax: 20}, {Name: "free"}}
+	return New(c)
 }
 
 func (w *World) verdict(t *testing.T, minDone int) {
@@ -79,7 +88,7 @@
 	if l := w.Leader(); l >= 0 && w.rng.IntN(2) == 0 {
 		return w.NodeName(l)
 	}
-	return w.NodeName(w.rng.IntN(3))
+	return w.NodeName(w.rng.IntN(len(w.nodes)))
 }
 
 // trouble makes one random fault happen.
@@ -87,11 +96,12 @@
 	r := w.rng
 	d := w.secs(2, 45)
 	ms := w.Machines()
-	switch r.IntN(14) {
+	n := len(w.nodes)
+	switch r.IntN(17) {
 	case 0, 1:
-		w.Crash(r.IntN(3), w.secs(1, 10))
+		w.Crash(r.IntN(n), w.secs(1, 10))
 	case 2:
-		for i := range 3 {
+		for i := range n {
 			w.Crash(i, w.secs(1, 10))
 		}
 	case 3:
@@ -119,7 +129,7 @@
 	case 11: // a zone's machines lose some of the nodes
 		z := w.cfg.Zones[r.IntN(3)]
 		hold := r.IntN(2) == 0
-		for i := range 3 {
+		for i := range n {
 			if r.IntN(3) > 0 {
 				for _, m := range ms {
 					if m.Zone == z {
@@ -129,7 +139,7 @@
 			}
 		}
 	case 12: // a node loses the workers, one by one
-		i, hold := r.IntN(3), r.IntN(2) == 0
+		i, hold := r.IntN(n), r.IntN(2) == 0
 		for _, m := range ms {
 			if r.IntN(2) == 0 {
 				w.Cut(w.NodeName(i), m.Name, w.secs(1, 60), hold)
@@ -137,6 +147,12 @@
 		}
 	case 13:
 		w.Cloud.Outage(d)
+	case 14:
+		w.CutZone(w.cfg.Zones[r.IntN(3)], d, r.IntN(2) == 0)
+	case 15:
+		w.Roll(w.secs(5, 20), w.secs(3, 8))
+	case 16:
+		w.State.GetSlow(2 * d)
 	}
 }
 
@@ -161,6 +177,54 @@
 	}
 }
 
+// TestSevenControllers plays troubled days with seven controllers in two zones.
+func TestSevenControllers(t *testing.T) {
+	for _, s := range seeds(t, 16) {
+		t.Run(strconv.FormatUint(s, 10), func(t *testing.T) {
+			t.Parallel()
+			w := seven(1000 + s)
+			w.State.Slow = 50
+			w.Stuck = 700
+			w.Workload(60, 200*time.Second)
+			w.At(60*time.Second, func() { // all at once, and once more
+				for i := range w.nodes {
+					w.Crash(i, w.secs(3, 8))
+				}
+			})
+			w.At(120*time.Second, func() { w.Roll(8*time.Second, 5*time.Second) })
+			for i := 0; i < 10; i++ {
+				w.At(w.secs(10, 260), w.trouble)
+			}
+			w.Run(1300 * time.Second)
+			w.verdict(t, 25)
+		})
+	}
+}
+
+// TestWaitingNodesAreModest guards against nodes that wait eating the budget of
+// the one that works: six of them once refused users while their own watches
+// took most of their share (lumiar grown, 3,181 answers of 503).
+func TestWaitingNodesAreModest(t *testing.T) {
+	w := seven(3)
+	w.Workload(60, 150*time.Second)
+	w.Run(300 * time.Second)
+	waiting := 0
+	for i := range w.nodes {
+		if i != w.Leader() {
+			waiting += w.State.Asked[w.NodeName(i)]
+		}
+	}
+	if rate := float64(waiting) / 300; rate > 0.4*120 {
+		t.Errorf("six waiting nodes ask %.0f times a second", rate)
+	}
+	if w.State.Limited > 0 {
+		t.Errorf("%d requests over the rate", w.State.Limited)
+	}
+	if w.Refused*50 > w.Polls {
+		t.Errorf("%d of %d polls were refused", w.Refused, w.Polls)
+	}
+}
+
 // TestCancelledJobSurvivesFailover guards against a new leader that forgets a
 // cancelled job before it has read where its tasks are: their room in the
 // team's limit was given away while they still ran (found by a troubled day).
--- a/internal/sim/state.go
+++ b/internal/sim/state.go
@@ -25,8 +25,10 @@
 	bucket      float64
 	writes      float64
 	last        time.Duration
-	// Limited counts requests over the rate.
+	slowUntil   time.Duration
+	// Limited counts requests over the rate, Asked all of them by host.
 	Limited int
+	Asked   map[string]int
 	keep    int
 }
 
@@ -58,7 +60,7 @@
 
 func newState(w *World) *State {
 	s := &State{w: w, keys: map[string]*stateKey{}, grants: map[uint64]*stateGrant{}, refuse: map[string]time.Duration{}, keep: 300,
-		bucket: 150, writes: 30}
+		bucket: w.cfg.RPS, writes: w.cfg.WriteRPS, Asked: map[string]int{}}
 	s.sweep()
 	return s
 }
@@ -77,6 +79,9 @@
 	})
 }
 
+// GetSlow makes every answer take some 15 times as long for a while.
+func (s *State) GetSlow(d time.Duration) { s.slowUntil = s.w.now + d }
+
 // RefuseNode makes the service refuse one node alone.
 func (s *State) RefuseNode(host string, d time.Duration) {
 	s.refuse[host] = s.w.now + d
@@ -179,8 +184,8 @@
 func (s *State) allow(writes int) bool {
 	dt := (s.w.now - s.last).Seconds()
 	s.last = s.w.now
-	s.bucket = min(150, s.bucket+dt*150)
-	s.writes = min(30, s.writes+dt*30)
+	s.bucket = min(s.w.cfg.RPS, s.bucket+dt*s.w.cfg.RPS)
+	s.writes = min(s.w.cfg.WriteRPS, s.writes+dt*s.w.cfg.WriteRPS)
 	if s.bucket < 1 || s.writes < float64(writes) {
 		s.Limited++
 		return false
@@ -219,10 +224,18 @@
 			return
 		}
 	}
+	s.Asked[from]++
 	if !s.allow(len(t.Apply)) {
 		reply(429, []byte(`{}`))
 		return
 	}
+	if s.w.now < s.slowUntil {
+		inner, d := reply, s.w.secs(0.03, 0.12)
+		if s.w.rng.IntN(40) == 0 {
+			d = s.w.secs(1, 6)
+		}
+		reply = func(st int, b []byte) { s.w.after(d, func() { inner(st, b) }) }
+	}
 	if s.Slow > 0 && s.w.rng.IntN(s.Slow) == 0 {
 		inner := reply
 		reply = func(st int, b []byte) { s.w.after(s.w.secs(0.1, 0.5), func() { inner(st, b) }) }
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -145,6 +145,7 @@
 
 func (w *World) poll(j *userJob) {
 	j.polls++
+	w.Polls++
 	asked := w.now
 	w.ask("GET", "/v2/runs/"+j.id, nil, 2*time.Second, func(a actor.Answer) {
 		switch {
@@ -153,6 +154,8 @@
 			w.answer(j, a.Body, asked)
 		case a.Err == nil && a.Status == 404:
 			w.broke("forgotten", "%s got 404", j.id)
+		case a.Err == nil && a.Status == 503:
+			w.Refused++
 		}
 		next := w.secs(4, 6)
 		if j.toldDone || j.cancelledAt > 0 {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -24,16 +24,20 @@
 
 // Config of a world.
 type Config struct {
-	Seed     uint64
-	Nodes    int
-	Zones    []string
-	Teams    []settings.Team
-	Capacity int // machines of each kind in each zone
-	Initial  int // machines up at the start
-	CPUs     float64
-	GPUs     float64
-	BootS    float64
-	Log      *slog.Logger
+	Seed  uint64
+	Nodes int
+	Zones []string
+	// NodeZones are where the controllers are; nil: in all zones.
+	NodeZones []string
+	// RPS and WriteRPS limit the state service; 0: 150 and 30.
+	RPS, WriteRPS float64
+	Teams         []settings.Team
+	Capacity      int // machines of each kind in each zone
+	Initial       int // machines up at the start
+	CPUs          float64
+	GPUs          float64
+	BootS         float64
+	Log           *slog.Logger
 }
 
 // World is one simulated day.
@@ -53,7 +57,9 @@
 	Broken  []string
 	Started int
 	Done    int
-	log     *slog.Logger
+	// Polls counts users' polls, Refused those that got 503.
+	Polls, Refused int
+	log            *slog.Logger
 	// Garbage is how seldom (one in so many) an answer to a controller has a
 	// body that makes no sense; 0: never.
 	Garbage int
@@ -231,6 +237,36 @@
 	w.cuts[pair(a, b)] = &cut{hold, w.now + d}
 }
 
+// CutZone cuts a zone's controllers and machines off from everything outside.
+func (w *World) CutZone(zone string, d time.Duration, hold bool) {
+	in, out := []string{}, []string{"state", "cloud", "users"}
+	add := func(z, host string) {
+		if z == zone {
+			in = append(in, host)
+		} else {
+			out = append(out, host)
+		}
+	}
+	for _, s := range w.nodes {
+		add(s.set.Location, s.host)
+	}
+	for _, m := range w.Machines() {
+		add(m.Zone, m.Name)
+	}
+	for _, a := range in {
+		for _, b := range out {
+			w.Cut(a, b, d, hold)
+		}
+	}
+}
+
+// Roll restarts all controllers, one after the other.
+func (w *World) Roll(every, back time.Duration) {
+	for i := range w.nodes {
+		w.after(time.Duration(i)*every, func() { w.Crash(i, back) })
+	}
+}
+
 func (w *World) cutBetween(a, b string) *cut {
 	c := w.cuts[pair(a, b)]
 	if c == nil || w.now >= c.until {
@@ -375,18 +411,24 @@
 	if cfg.Log == nil {
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
+	if cfg.NodeZones == nil {
+		cfg.NodeZones = cfg.Zones
+	}
+	if cfg.RPS == 0 {
+		cfg.RPS, cfg.WriteRPS = 150, 30
+	}
 	w := &World{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 7)), jobs: map[string]*userJob{}, gangs: map[string]*gang{},
 		cuts: map[[2]string]*cut{}, log: cfg.Log}
 	w.State = newState(w)
 	w.Cloud = newCloud(w)
 	for i := 0; i < cfg.Nodes; i++ {
-		s := &settings.Settings{Label: fmt.Sprintf("n%d", i), Location: cfg.Zones[i%len(cfg.Zones)],
+		s := &settings.Settings{Label: fmt.Sprintf("n%d", i), Location: cfg.NodeZones[i%len(cfg.NodeZones)],
 			Bind: fmt.Sprintf("10.0.0.%d:8080", i+1), ClusterListen: fmt.Sprintf("10.0.0.%d:8081", i+1)}
 		s.External.State, s.External.Cloud = stateAddr, cloudAddr
 		f := &s.Facts
 		f.Nodes, f.Zones, f.Teams = cfg.Nodes, cfg.Zones, cfg.Teams
 		f.Workers.ReportS, f.Workers.LeaseS, f.Workers.GangWaitS, f.Workers.GangPeerS, f.Workers.CancelS = 3, 30, 30, 5, 58
-		f.State.RPS, f.State.WriteRPS, f.State.ValueKB, f.State.TxnOps = 150, 30, 4, 12
+		f.State.RPS, f.State.WriteRPS, f.State.ValueKB, f.State.TxnOps = cfg.RPS, cfg.WriteRPS, 4, 12
 		f.Cloud.RPS, f.Cloud.ListLagS = 4, 4
 		f.Limits.MemMB, f.Limits.Sockets = 125, 1000
 		w.Set = append(w.Set, s)
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -246,8 +246,8 @@
 		return
 	case model.CauseError:
 		task.Errors++
-		task.Avoid = m
 		task.NotBefore = now + backoff(task.Errors)
+		task.Avoid(m, task.NotBefore+avoidFor)
 		a.blame(m, j)
 	case model.CauseAlone:
 		if a.again(p) {
@@ -269,6 +269,9 @@
 	a.led.Lost(p, cause)
 }
 
+// avoidFor is how long a task keeps off the machine it failed on.
+const avoidFor = time.Minute
+
 // mostAgain bounds how often a task of a gang is started again in one attempt.
 const mostAgain = 12
 
