--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -53,11 +53,17 @@
 	return &Actor{env: env, peers: peers, own: own, known: map[string]known{}}
 }
 
-// Start begins to tell the peers.
+// Start begins to tell the peers. Of two, the one with the smaller label asks:
+// a question tells as much as its answer, and with seven nodes every pair
+// asking both ways was 42 requests a second on machines that are tiny.
 func (a *Actor) Start() {
 	body := a.encode()
+	me := a.own().Label
 	for _, p := range a.peers {
 		label := p.Label
+		if label < me {
+			continue
+		}
 		a.env.Call(actor.Call{Addr: p.Endpoint, Method: "POST", Path: Path, Type: contentType, Body: body, Timeout: timeout, Done: func(ans actor.Answer) {
 			if ans.Err != nil || ans.Status != 200 {
 				return
