Every node remembers which machine has fetched which image

Cause: workers don't report their caches, and the leader's knowledge of them went with the leader. Guard: images.TestRemembersAcrossLeaders.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -196,6 +196,7 @@
 	OnChange  func()
 	OnStop    func(p *Placement)
 	OnDeposed func()
+	Warm      func(m *Machine) // fills in what is remembered of a machine's images
 	MaxOps    int
 }
 
@@ -383,6 +384,9 @@
 	if m == nil {
 		m = &Machine{Name: name, FirstSeen: l.env.Now(), IdleSince: l.env.Now(),
 			Images: map[string]time.Duration{}, ImageGB: map[string]float64{}, Ambiguous: map[string]uint64{}, RentedAt: l.env.Now()}
+		if l.Warm != nil {
+			l.Warm(m)
+		}
 		l.Machines[name] = m
 		i := l.place(name)
 		l.byName = append(l.byName, nil)
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -197,3 +197,19 @@
 	}
 	return done, placed, why, err
 }
+
+// TaskPlace is where a recorded task is.
+type TaskPlace struct {
+	Done    bool
+	Machine string
+}
+
+// ChunkMachines tells where a recorded chunk's tasks are.
+func ChunkMachines(key string, b []byte) ([]TaskPlace, error) {
+	st, _, err := decodeChunk(key, b)
+	out := make([]TaskPlace, len(st))
+	for i, s := range st {
+		out[i] = TaskPlace{s.done, s.machine}
+	}
+	return out, err
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,6 +10,7 @@
 	"brooklb/internal/consolidate"
 	"brooklb/internal/fleet"
 	"brooklb/internal/httpx"
+	"brooklb/internal/images"
 	"brooklb/internal/leader"
 	"brooklb/internal/ledger"
 	"brooklb/internal/model"
@@ -29,6 +30,7 @@
 	elect *leader.Actor
 	adm   *admission.Actor
 	peers *peer.Actor
+	warm  *images.Actor
 	term  *term
 	hold  time.Duration
 	// yields counts how often we gave way since we last heard the workers.
@@ -69,6 +71,7 @@
 	n.hold = max(500*time.Millisecond, seconds(f.Workers.CancelS-f.Workers.LeaseS-4))
 	n.store = statestore.New(env, statestore.Config{Addr: set.External.State, RPS: f.State.RPS, WriteRPS: f.State.WriteRPS,
 		Nodes: f.Nodes, TxnOps: f.State.TxnOps, ValueBytes: int(f.State.ValueKB * 1024)})
+	n.warm = images.New(env, n.store)
 	n.adm = admission.New(env, n.store, f.Teams, f.Zones)
 	n.peers = peer.New(env, set.Peers, n.status)
 	n.adm.Live = n.live
@@ -195,6 +198,12 @@
 	t.led = ledger.New(n.env, n.store, token, f.Teams)
 	t.fleet = fleet.New(n.env, t.led, n.store, token, fleet.Config{Cloud: n.set.External.Cloud, RPS: f.Cloud.RPS,
 		ListLag: seconds(f.Cloud.ListLagS), Report: seconds(f.Workers.ReportS), IdleKeep: 15 * time.Second, Patience: 45 * time.Second, Headroom: 0.5})
+	warm := n.warm.Snapshot()
+	t.led.Warm = func(m *ledger.Machine) {
+		for image, x := range warm[m.Name] {
+			m.Images[image], m.ImageGB[image] = x.At, x.GB
+		}
+	}
 	t.led.Load()
 	t.workers = workers.New(n.env, t.led, token, workers.Config{Lease: seconds(f.Workers.LeaseS), Hold: n.hold, Report: seconds(f.Workers.ReportS)})
 	t.workers.OnNewer = func() { n.elect.Deposed(token) }
