A leader that hears of a newer one from a peer gives way at once

It answered the workers until its hold was over, so that the new leader heard hardly anybody, took itself for cut off and gave way, twice.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -230,10 +230,11 @@
 	})
 }
 
-// Deposed tells the actor that a transaction failed on the leader key.
+// Deposed tells the actor that a higher token was seen: a transaction failed on
+// the leader key, or a worker or a peer knows of a newer leader.
 func (a *Actor) Deposed(token uint64) {
 	if a.token == token {
-		a.lose("a transaction failed on the leader key")
+		a.lose("a newer leader is known")
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,6 +74,7 @@
 	n.warm = images.New(env, n.store)
 	n.adm = admission.New(env, n.store, f.Teams, f.Zones)
 	n.peers = peer.New(env, set.Peers, n.status)
+	n.peers.OnLeader = n.newer
 	n.adm.Live = n.live
 	n.adm.Healthy = n.healthy
 	n.store.Subscribe(func(key string, it *statestore.Item) {
@@ -97,7 +98,20 @@
 func (n *Node) Leading() (uint64, bool) { return n.elect.Token(), n.term != nil }
 
 func (n *Node) status() peer.Status {
-	return peer.Status{Label: n.set.Label, State: (n.env.Now() - n.store.Contact()).Milliseconds(), Leading: n.term != nil}
+	st := peer.Status{Label: n.set.Label, State: (n.env.Now() - n.store.Contact()).Milliseconds(), Leading: n.term != nil}
+	if n.term != nil {
+		st.Token = n.term.token
+	}
+	return st
+}
+
+// newer hears of a leader. One that the state service refuses alone learns only
+// so that another leads; it would answer the workers until its hold is over, and
+// the new leader would hear nobody and give way (tbilisi grown, apart).
+func (n *Node) newer(token uint64) {
+	if t := n.term; t != nil && token > t.token {
+		n.elect.Deposed(t.token)
+	}
 }
 
 const (
@@ -169,6 +183,9 @@
 		if label == n.set.Label || n.env.Now()-n.store.Contact() > 4*time.Second {
 			label = "" // not ready yet, or what we know may be old
 		}
+		if label == "" {
+			label = n.peers.Leader()
+		}
 		reply(httpx.Response{Status: 421, Body: wire.ReportsTo(label)})
 		return
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -1,6 +1,7 @@
 // Package peer is what controllers tell each other, in CBOR: how they stand
-// with the state service. Nothing in it decides who leads; it helps a node to
-// tell an outage, which everybody has, from a refusal that it has alone.
+// with the state service, and whether they lead. Nothing in it makes a leader; it
+// helps a node to tell an outage, which everybody has, from a refusal that it
+// has alone, and a leader that hears of a newer one to give way at once.
 package peer
 
 import (
@@ -25,6 +26,7 @@
 	Label   string `cbor:"2,keyasint"`
 	State   int64  `cbor:"3,keyasint"` // ms since the state service's last definite answer
 	Leading bool   `cbor:"4,keyasint"`
+	Token   uint64 `cbor:"5,keyasint,omitempty"` // with which it leads
 }
 
 const (
@@ -46,6 +48,8 @@
 	peers []settings.Peer
 	own   func() Status
 	known map[string]known
+	// OnLeader hears that a peer leads, and with which token.
+	OnLeader func(token uint64)
 }
 
 // New makes the actor; own tells the node's current status.
@@ -98,6 +102,9 @@
 	for _, p := range a.peers {
 		if p.Label == s.Label {
 			a.known[s.Label] = known{s, a.env.Now()}
+			if s.Leading && s.Token > 0 && a.OnLeader != nil {
+				a.OnLeader(s.Token)
+			}
 			return nil
 		}
 	}
@@ -130,6 +137,18 @@
 	return false
 }
 
+// Leader is the peer that lately said it leads, with the highest token; "" if
+// none did.
+func (a *Actor) Leader() string {
+	label, token := "", uint64(0)
+	for _, k := range a.known {
+		if k.Leading && k.Token > token && a.env.Now()-k.at <= fresh {
+			label, token = k.Label, k.Token
+		}
+	}
+	return label
+}
+
 // Heard reports whether any peer has said something lately.
 func (a *Actor) Heard() bool {
 	for _, k := range a.known {
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -365,3 +365,37 @@
 		}
 	}
 }
+
+// TestRefusedLeaderGivesWay guards against a leader that the state service
+// refuses alone and that goes on answering the workers: the new leader heard
+// nobody, took itself for cut off and gave way, again and again.
+func TestRefusedLeaderGivesWay(t *testing.T) {
+	w := world(9)
+	w.At(5*time.Second, func() {
+		w.Submit(Job{ID: "j-1", Shape: "sweep", Team: "free", Image: "i", ImageGB: 0.1, Tasks: 20, CPUs: 4, RunS: 100})
+	})
+	old := -1
+	w.At(30*time.Second, func() {
+		old = w.Leader()
+		w.State.RefuseNode(w.NodeName(old), 60*time.Second)
+	})
+	w.Run(44 * time.Second)
+	next := w.Leader()
+	if next == old || next < 0 {
+		t.Errorf("node %d leads still", next)
+	}
+	if _, ok := w.nodes[old].n.Leading(); ok {
+		t.Error("the refused leader hasn't given way")
+	}
+	for _, m := range w.Machines() {
+		if m.up && m.node != next {
+			t.Errorf("%s reports to node %d, not to the leader, %d", m.Name, m.node, next)
+		}
+	}
+	w.Run(85 * time.Second)
+	if l := w.Leader(); l != next {
+		t.Errorf("the leader has changed once more, from %d to %d", next, l)
+	}
+	w.Run(300 * time.Second)
+	w.verdict(t, 1)
+}
