A leader that was just started no longer takes three minutes' work for half a minute's

Cause: the headroom divides what arrived in the last three minutes by the time since the process began. Change: the time over which it arrived counts. Test: the same arrivals ask for the same headroom however old the process is.

--- a/internal/fleet/headroom.go
+++ b/internal/fleet/headroom.go
@@ -47,7 +47,11 @@
 	return best
 }
 
-const arrivalWindow = 3 * time.Minute
+const (
+	arrivalWindow = 3 * time.Minute
+	// What came in less time than this counts as if it had come over all of it.
+	leastSpan = 30 * time.Second
+)
 
 // headroom is how many idle machines to keep for work that is to start at
 // once. Machines whose tasks may be stopped for it are as good as idle.
@@ -56,10 +60,12 @@
 	prompt, other := 0.0, 0.0
 	prio := model.Low
 	k := 0
+	oldest := now
 	for _, x := range a.arrivals {
 		if now-x.at <= arrivalWindow {
 			a.arrivals[k] = x
 			k++
+			oldest = min(oldest, x.at)
 			if x.prompt {
 				prompt += x.size
 				prio = max(prio, x.prio)
@@ -73,7 +79,11 @@
 	for _, t := range a.led.Types {
 		boot = max(boot, t.BootS)
 	}
-	span := min(arrivalWindow, max(30*time.Second, now)).Seconds()
+	// They came over this time, and not since this process began: after a crash
+	// of all, three minutes' work once counted as if it had come in half a
+	// minute, and each new leader rented 300 machines too many (lumiar fleet,
+	// restart).
+	span := max(leastSpan, now-oldest).Seconds()
 	prompt *= boot / span
 	other *= boot / span
 	if prompt > 0 {
