Estimates that are clearly too low are corrected by what was seen

Change: internal/estimates keeps a windowed histogram (HdrHistogram) of the ratio of run time to estimate by class, of tasks that ran through in one go; the median corrects estimates upwards once it is above 1.25. It is a leader's knowledge.

--- /dev/null
+++ b/internal/estimates/estimates_test.go
@@ -0,0 +1,53 @@
+package estimates
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestFactor guards what is learned: nothing from few, the median of what was
+// seen lately, never less than the owners say, and bounded memory.
+func TestFactor(t *testing.T) {
+	b := Book{}
+	c := b.Class("x")
+	feed := func(n int, ratio float64) {
+		for i := range n {
+			r := ratio
+			if i%5 == 0 {
+				r = 50 // a few that are quite out of line
+			}
+			c.Ran(10, time.Duration(10*r*float64(time.Second)))
+		}
+	}
+	for _, step := range []struct {
+		n         int
+		ratio     float64
+		low, high float64
+	}{{20, 2, 1, 1}, {100, 2, 1.95, 2.05}, {3000, 0.5, 1, 1}, {3000, 9, 2.5, 2.5}, {3000, 1.3, 1.25, 1.35}, {3000, 1.2, 1, 1}} {
+		feed(step.n, step.ratio)
+		if f := c.Factor(); f < step.low || f > step.high {
+			t.Errorf("after %d at %v: factor %v, want %v to %v", step.n, step.ratio, f, step.low, step.high)
+		}
+	}
+	c.Ran(0, time.Second)
+	c.Ran(10, 0)
+	for i := range 10000 {
+		b.Class(fmt.Sprint("c", i)).Ran(1, time.Second)
+	}
+	if len(b) > mostClasses+1 {
+		t.Errorf("%d classes are kept", len(b))
+	}
+	if (*Class)(nil).Factor() != 1 {
+		t.Error("a class without an entry has a factor")
+	}
+}
+
+// BenchmarkRan measures what a task that ends costs.
+func BenchmarkRan(b *testing.B) {
+	c := Book{}.Class("x")
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		c.Ran(10, time.Duration(5+i%20)*time.Second)
+	}
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"brooklb/internal/actor"
+	"brooklb/internal/estimates"
 	"brooklb/internal/model"
 	"brooklb/internal/settings"
 	"brooklb/internal/statestore"
@@ -76,6 +77,7 @@
 	closing bool // the final record is being written
 	broken  bool // a record of it can't be read: it is left alone
 	faults  faults
+	class   *estimates.Class
 	next    int // hint for the first task that may be idle
 }
 
@@ -174,6 +176,8 @@
 	// Returned has the machines that the cloud says are gone. Their reports
 	// and list entries may still be on their way; names are not used again.
 	Returned map[string]bool
+	// Estimates has what was learned of the owners' estimates.
+	Estimates estimates.Book
 	// What was seen of spot machines being taken back: how many, and over how
 	// many machine hours.
 	SpotTaken, SpotHours float64
@@ -209,7 +213,7 @@
 // New makes the ledger of a term from the replica.
 func New(env actor.Env, store *statestore.Store, token uint64, teams []settings.Team) *Ledger {
 	l := &Ledger{env: env, store: store, token: token, Jobs: map[string]*Job{}, Machines: map[string]*Machine{},
-		Teams: map[string]*Team{}, Returned: map[string]bool{}, Types: map[string]*model.MachineType{}, MaxOps: store.Config().TxnOps}
+		Teams: map[string]*Team{}, Returned: map[string]bool{}, Estimates: estimates.Book{}, Types: map[string]*model.MachineType{}, MaxOps: store.Config().TxnOps}
 	for _, t := range teams {
 		l.Teams[t.Name] = &Team{Team: t}
 	}
@@ -445,5 +449,17 @@
 	}
 }
 
+// EstimateS is how many seconds a task of the job is thought to run: its owner's
+// estimate, corrected by what was seen of the class.
+func (j *Job) EstimateS() float64 { return j.Spec.EstimateS * j.class.Factor() }
+
+// Ran notes that a placement's task was done: of what ran through from the
+// beginning it is learned how wrong the estimates are, of a gang once.
+func (l *Ledger) Ran(p *Placement) {
+	if j := p.Job; p.Attempt == 1 && p.RunSince > 0 && j.class != nil && (j.Spec.Kind == model.Array || p.Task == 0) {
+		j.class.Ran(j.Spec.EstimateS, l.env.Now()-p.RunSince)
+	}
+}
+
 // Readable reports whether all of the job's record could be read.
 func (j *Job) Readable() bool { return !j.broken }
--- a/internal/ledger/load.go
+++ b/internal/ledger/load.go
@@ -52,7 +52,7 @@
 			return
 		}
 		j = &Job{Spec: r.spec, At: r.At, Tasks: make([]Task, r.Tasks), per: r.Chunk,
-			chunks: make([]chunk, r.Chunks())}
+			chunks: make([]chunk, r.Chunks()), class: l.Estimates.Class(r.spec.Class)}
 		age := max(0, l.env.Wall().UnixMilli()-r.At)
 		j.Since = l.env.Now() - time.Duration(age)*time.Millisecond
 		l.Jobs[id] = j
--- a/internal/placement/aims.go
+++ b/internal/placement/aims.go
@@ -57,7 +57,7 @@
 	for _, w := range a.wait[c] {
 		add(w)
 	}
-	run := j.Spec.EstimateS * estimateSlack
+	run := j.EstimateS() * estimateSlack
 	for _, f := range a.finished[c] {
 		add(f - run)
 	}
@@ -89,7 +89,7 @@
 // for clearly less than its owner thinks. A job without aims is never lost.
 func (a *Aims) Lost(j *ledger.Job, within bool, now time.Duration) bool {
 	ts := a.StartBy(j, within)
-	early := time.Duration(j.Spec.EstimateS * (estimateSlack - 0.7) * float64(time.Second))
+	early := time.Duration(j.EstimateS() * (estimateSlack - 0.7) * float64(time.Second))
 	prompt := len(a.wait[j.Spec.Class])
 	for i, t := range ts {
 		if i >= prompt {
--- a/internal/placement/claims.go
+++ b/internal/placement/claims.go
@@ -73,5 +73,5 @@
 
 // work is how much a job's tasks that are not done take, in its owner's estimate.
 func work(j *ledger.Job) float64 {
-	return float64(len(j.Tasks)-j.NDone) * max(j.Spec.Need.CPUs, j.Spec.Need.GPUs, 1) * max(1, j.Spec.EstimateS)
+	return float64(len(j.Tasks)-j.NDone) * max(j.Spec.Need.CPUs, j.Spec.Need.GPUs, 1) * max(1, j.EstimateS())
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -422,12 +422,12 @@
 // job runs on a spot machine. If that is taken away a gang stops as a whole.
 func spotLoss(l *ledger.Ledger, j *ledger.Job) float64 {
 	s := j.Spec
-	lost := s.EstimateS / 2
+	lost := j.EstimateS() / 2
 	if s.CheckpointS > 0 {
 		lost = min(lost, s.CheckpointS/2+s.SaveS)
 	}
 	lost += restart
-	run := s.EstimateS
+	run := j.EstimateS()
 	if s.Kind == model.Service {
 		run = 3600
 	}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -57,7 +57,7 @@
 	if now-p.RunSince < freshStart {
 		cost += 15
 	}
-	if s.Kind != model.Service && s.EstimateS > 0 && ran > 0.8*s.EstimateS {
+	if s.Kind != model.Service && s.EstimateS > 0 && ran > 0.8*p.Job.EstimateS() {
 		cost += 20 // about to complete by itself
 	}
 	return cost + 3, true
--- a/internal/placement/project.go
+++ b/internal/placement/project.go
@@ -44,7 +44,7 @@
 	if s.Kind == model.Service {
 		return time.Hour
 	}
-	est := time.Duration(s.EstimateS * float64(time.Second))
+	est := time.Duration(p.Job.EstimateS() * float64(time.Second))
 	if p.Phase != model.Running {
 		return est + time.Duration(fetch*float64(time.Second)/2)
 	}
@@ -219,7 +219,7 @@
 	if j.Spec.Kind == model.Service {
 		return time.Hour
 	}
-	return time.Duration(j.Spec.EstimateS * float64(time.Second))
+	return time.Duration(j.EstimateS() * float64(time.Second))
 }
 
 // Find says when n tasks of a gang would run at once, and where; ok is false if
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -33,6 +33,7 @@
 	RPS, WriteRPS float64
 	CloudRPS      float64 // 0: 4
 	Teams         []settings.Team
+	Objectives    []settings.Objective
 	Capacity      int // machines of each kind in each zone
 	Initial       int // machines up at the start
 	CPUs          float64
@@ -475,7 +476,7 @@
 			Bind: fmt.Sprintf("10.0.0.%d:8080", i+1), ClusterListen: fmt.Sprintf("10.0.0.%d:8081", i+1)}
 		s.External.State, s.External.Cloud = stateAddr, cloudAddr
 		f := &s.Facts
-		f.Nodes, f.Zones, f.Teams = cfg.Nodes, cfg.Zones, cfg.Teams
+		f.Nodes, f.Zones, f.Teams, f.Objectives = cfg.Nodes, cfg.Zones, cfg.Teams, cfg.Objectives
 		f.Workers.ReportS, f.Workers.LeaseS, f.Workers.GangWaitS, f.Workers.GangPeerS, f.Workers.CancelS = 3, 30, 30, 5, 58
 		f.State.RPS, f.State.WriteRPS, f.State.ValueKB, f.State.TxnOps = cfg.RPS, cfg.WriteRPS, 4, 12
 		f.Cloud.RPS, f.Cloud.ListLagS = cfg.CloudRPS, 4
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -241,6 +241,7 @@
 	case model.CauseDone:
 		task.Errors = 0
 		m.Clear()
+		a.led.Ran(p)
 		a.led.Finished(j, p.Task)
 		return
 	case model.CauseError:
