One test of a team's guarantee instead of two, the unused one removed

Need: NewClaims wrote again what Team.InGuarantee almost was, which nobody called. Change: Team.Guarantees serves. Behaviour as before; tests of placement, ledger and fleet pass.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -155,13 +155,9 @@
 	return (t.CPUsMax <= 0 || u.CPUs <= t.CPUsMax+1e-6) && (t.GPUsMax <= 0 || u.GPUs <= t.GPUsMax+1e-6)
 }
 
-// InGuarantee reports whether the team's use plus n stays in its guarantee.
-func (t *Team) InGuarantee(n model.Need) bool {
-	u := t.Used.Add(n)
-	if t.CPUs <= 0 && t.GPUs <= 0 {
-		return false
-	}
-	return (t.CPUs <= 0 || u.CPUs <= t.CPUs+1e-6) && (t.GPUs <= 0 || u.GPUs <= t.GPUs+1e-6)
+// Guarantees reports whether the team has a guarantee and n fits into it.
+func (t *Team) Guarantees(n model.Need) bool {
+	return (t.CPUs > 0 || t.GPUs > 0) && (t.CPUs <= 0 || n.CPUs <= t.CPUs+1e-6) && (t.GPUs <= 0 || n.GPUs <= t.GPUs+1e-6)
 }
 
 // Ledger of one leader's term.
--- a/internal/placement/claims.go
+++ b/internal/placement/claims.go
@@ -37,16 +37,13 @@
 	claims := Claims{}
 	use, claimed := map[*ledger.Team]model.Need{}, map[*ledger.Team]model.Need{}
 	var rest []*ledger.Job
-	fits := func(t *ledger.Team, u model.Need) bool {
-		return (t.CPUs <= 0 || u.CPUs <= t.CPUs+1e-6) && (t.GPUs <= 0 || u.GPUs <= t.GPUs+1e-6)
-	}
 	need := func(j *ledger.Job) model.Need { return j.Spec.Need.Times(float64(len(j.Tasks) - j.NDone)) }
 	for _, j := range l.Order() {
 		t := l.Teams[j.Spec.Team]
-		if t == nil || j.Final != ledger.Open || j.Faulty() || t.CPUs <= 0 && t.GPUs <= 0 {
+		if t == nil || j.Final != ledger.Open || j.Faulty() || !t.Guarantees(model.Need{}) {
 			continue
 		}
-		if u := use[t].Add(need(j)); fits(t, u) {
+		if u := use[t].Add(need(j)); t.Guarantees(u) {
 			use[t] = u
 			// What is stopped soon after its start has not started for the aim, and
 			// what was late for it is still owed a start.
@@ -65,7 +62,7 @@
 	})
 	for _, j := range rest {
 		t := l.Teams[j.Spec.Team]
-		if u := claimed[t].Add(need(j)); fits(t, u) {
+		if u := claimed[t].Add(need(j)); t.Guarantees(u) {
 			claims[j], claimed[t] = PassedOn, u
 		}
 	}
