--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -8,6 +8,10 @@
 	"brooklb/internal/wire"
 )
 
+// mostListed bounds the machines of a list. A list that doesn't end would fill
+// the memory; nothing is concluded from one.
+const mostListed = 100_000
+
 func (a *Actor) list() {
 	a.listing = true
 	a.seen = map[string]bool{}
@@ -31,11 +35,20 @@
 				a.listedAt = a.env.Now()
 				return
 			}
+			// A page has the next names, in any order.
+			last := after
 			for _, lm := range ms {
+				last = max(last, lm.Name)
 				a.listed(lm)
 			}
+			if more && (last == after || len(a.seen) > mostListed) {
+				a.env.Log().Error("bad answer of the cloud: the list of machines doesn't end", "machines", len(a.seen), "after", last)
+				a.listing = false
+				a.listedAt = a.env.Now()
+				return
+			}
 			if more {
-				page(ms[len(ms)-1].Name)
+				page(last)
 				return
 			}
 			a.listing = false
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -79,6 +79,7 @@
 	broken  bool // a record of it can't be read: it is left alone
 	faults  faults
 	class   *estimates.Class
+	runs    estimates.Runs
 	next    int // hint for the first task that may be idle
 }
 
@@ -100,6 +101,7 @@
 	StopSince time.Duration
 	StopSent  time.Duration
 	StopWhy   string
+	Vague     bool // when it began to run isn't known closely
 	SentAt    time.Duration
 	Again     bool // has waited in vain for its gang, is to be started again in the same attempt
 	Retries   int  // how often that happened
@@ -141,6 +143,8 @@
 	Ended                  []model.TaskReport
 	Strays                 []model.TaskReport
 	Missing                int
+	Pace                   estimates.Pace
+	Gap                    time.Duration // between the last two reports
 }
 
 // Team with its use.
@@ -454,10 +458,21 @@
 func (j *Job) EstimateS() float64 { return j.Spec.EstimateS * j.class.Factor() }
 
 // Ran notes that a placement's task was done: of what ran through from the
-// beginning it is learned how wrong the estimates are, of a gang once.
+// beginning it is learned how wrong the estimates are, of a gang once, and how
+// fast the machine is. When an inherited task began to run isn't known.
 func (l *Ledger) Ran(p *Placement) {
-	if j := p.Job; p.Attempt == 1 && p.RunSince > 0 && j.class != nil && (j.Spec.Kind == model.Array || p.Task == 0) {
-		j.class.Ran(j.Spec.EstimateS, l.env.Now()-p.RunSince)
+	j := p.Job
+	if p.Attempt != 1 || p.Inherited || p.RunSince <= 0 || j.class == nil {
+		return
+	}
+	took := l.env.Now() - p.RunSince
+	if j.Spec.Kind == model.Array || p.Task == 0 {
+		j.class.Ran(j.Spec.EstimateS, took)
+	}
+	if j.Spec.Kind == model.Array && !p.Vague {
+		if ratio, ok := j.runs.Add(took); ok {
+			p.M.Pace.Ran(ratio)
+		}
 	}
 }
 
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -69,7 +69,7 @@
 	e.After(time.Millisecond, func() { c.Done(actor.Answer{Status: 200, Body: []byte(body)}) })
 }
 
-func start(t *testing.T, items map[string]string) (*env, *Ledger) {
+func start(t testing.TB, items map[string]string) (*env, *Ledger) {
 	t.Helper()
 	e := &env{items: items, epoch: 5}
 	s := statestore.New(e, statestore.Config{RPS: 100, WriteRPS: 25, Nodes: 1, TxnOps: 12, ValueBytes: 4096})
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -393,6 +393,9 @@
 		}
 		s -= f * float64(1+others)
 	}
+	if j.Spec.Kind != model.Service {
+		s -= (m.Pace.Factor() - 1) * j.EstimateS()
+	}
 	// Fill machines that are in use before empty ones.
 	used := 0.0
 	if m.Cap.GPUs > 0 {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -212,3 +212,22 @@
 		}
 	}
 }
+
+// BenchmarkPass measures a pass over a full fleet with work that waits: 1,300
+// machines, 150 jobs with 9,900 waiting tasks.
+func BenchmarkPass(b *testing.B) {
+	w, r := newWorld(1, 1300), rand.New(rand.NewPCG(1, 1))
+	full := w.job(model.Spec{Team: "free", Tasks: 10400 - 8, Need: model.Need{CPUs: 1, GPUs: 1}, Image: "i", CheckpointS: 5, EstimateS: 60, Spot: true})
+	Run(w.l, w.v, []*ledger.Job{full}, func(*ledger.Job) {})
+	for range 150 {
+		w.job(model.Spec{Team: []string{"red", "blue", "free"}[r.IntN(3)], Tasks: 66, Need: model.Need{CPUs: 1, GPUs: float64(2 + r.IntN(7))}, Image: "i",
+			Priority: model.Priority(r.IntN(4)), EstimateS: 60, DeadlineS: float64(30 + r.IntN(600))})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		claims := NewClaims(w.l, w.v.Aims, w.v.Now)
+		if n := len(Run(w.l, w.v, Order(w.l, w.v, claims), func(*ledger.Job) {})); n < 140 {
+			b.Fatal(n)
+		}
+	}
+}
--- a/internal/sim/cloud.go
+++ b/internal/sim/cloud.go
@@ -27,6 +27,13 @@
 	BootFactor func(zone string) float64
 	// Lag is how much more than usual the list lags.
 	Lag time.Duration
+	// Page is the most machines on a page of the list, 0: 500. Shuffle has them in
+	// any order, some of them twice; Endless says after every page that there is
+	// another, and begins anew.
+	Page             int
+	Shuffle, Endless bool
+	// Lists counts the pages asked for.
+	Lists int
 	// Cost in machine seconds.
 	Cost float64
 }
@@ -193,6 +200,10 @@
 				most, _ = strconv.Atoi(v)
 			}
 		}
+		c.Lists++
+		if c.Page > 0 {
+			most = min(most, c.Page)
+		}
 		lag := c.Lag + w.secs(2, 8) // the list may be older than the one before it
 		s := c.snaps[0]
 		for _, x := range c.snaps {
@@ -212,6 +223,13 @@
 			}
 			out = append(out, x)
 		}
+		if c.Endless && !more && len(s.list) > 0 {
+			out, more = s.list[:min(most, len(s.list))], true
+		}
+		if c.Shuffle && len(out) > 0 {
+			out = append(append([]map[string]any(nil), out...), out[w.rng.IntN(len(out))])
+			w.rng.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+		}
 		reply(200, mustJSON(map[string]any{"hosts": out, "has_next": more}))
 	default:
 		reply(400, []byte(`{}`))
--- a/internal/sim/list_test.go
+++ b/internal/sim/list_test.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"strconv"
 	"testing"
 	"time"
 )
@@ -31,3 +32,33 @@
 	w.Run(600 * time.Second)
 	w.verdict(t, 1)
 }
+
+// TestListOutOfOrder guards against a list whose pages have the machines in no
+// order, and against one that never ends: it was asked for page after page, as
+// fast as the cloud's rate allows, and nothing was concluded from it any more.
+func TestListOutOfOrder(t *testing.T) {
+	w := worldOf(Config{Seed: 73, Nodes: 3})
+	w.Cloud.Page, w.Cloud.Shuffle = 5, true
+	for range 20 {
+		w.Cloud.create("a", false, 0.1)
+	}
+	for i := range 40 {
+		w.At(time.Duration(5+2*i)*time.Second, func() {
+			w.Submit(Job{ID: "j-" + strconv.Itoa(i), Shape: "sweep", Team: "free", Image: "i", ImageGB: 0.1, Tasks: 12, CPUs: 4, RunS: 40})
+		})
+	}
+	w.At(60*time.Second, func() { w.Cloud.Endless = true })
+	w.At(120*time.Second, func() { w.Cloud.Endless = false })
+	w.Run(60 * time.Second)
+	for w.now < 120*time.Second {
+		before := w.Cloud.Lists
+		w.Run(w.now + 20*time.Second)
+		n := w.Cloud.Lists - before
+		if n > 45 {
+			t.Errorf("at %v: %d pages of an endless list were asked for in 20 s", w.now, n)
+		}
+	}
+	w.Cloud.machines["vm-000012"].Die() // seen by the list alone, once it ends again
+	w.Run(600 * time.Second)
+	w.verdict(t, 40)
+}
--- a/internal/sim/machine.go
+++ b/internal/sim/machine.go
@@ -36,6 +36,8 @@
 	tasks               map[string]*runner
 	images              map[string]bool
 	bad                 bool // every task fails here
+	// Slow is how many times as long tasks take here; 0: as long as usual.
+	Slow float64
 }
 
 // runner is one attempt of a task on a machine.
@@ -338,6 +340,11 @@
 	r.m.w.after(d, fire)
 }
 
+// slowed is how long the machine takes for something.
+func (m *Machine) slowed(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * max(1, m.Slow))
+}
+
 func (r *runner) run() {
 	r.phase = "running"
 	r.from = r.m.w.now
@@ -345,7 +352,7 @@
 	if r.job.shape == "standing" {
 		return
 	}
-	r.in(r.job.left(r.task), func() {
+	r.in(r.m.slowed(r.job.left(r.task)), func() {
 		r.job.results[r.task] = true
 		r.exit("done", false)
 	})
@@ -369,7 +376,7 @@
 		}
 		if r.job.snapshotS > 0 && grace >= r.job.stowS {
 			r.phase = "flushing"
-			r.job.save(r.task, r.m.w.now-r.from)
+			r.job.save(r.task, time.Duration(float64(r.m.w.now-r.from)/max(1, r.m.Slow)))
 			r.m.changed()
 			r.in(time.Duration(r.job.stowS*float64(time.Second)), func() { r.exit("halted", true) })
 			return
@@ -422,7 +429,10 @@
 		return
 	}
 	g.running, g.from = true, w.now
-	left := g.job.left(0)
+	left := time.Duration(0)
+	for _, x := range g.members() {
+		left = max(left, x.m.slowed(g.job.left(0)))
+	}
 	for _, x := range g.members() {
 		x.phase, x.from = "running", w.now
 		x.ends++
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -96,6 +96,7 @@
 		return false
 	}
 	first := !m.Heard
+	m.Gap = now - m.LastHeard
 	m.Heard, m.LastHeard = true, now
 	m.Addr = r.Addr
 	a.led.Describe(m, r.Type, r.Zone, r.Spot)
@@ -134,6 +135,7 @@
 			p.Phase = t.Phase
 			if t.Phase == model.Running {
 				p.RunSince = now
+				p.Vague = m.Gap > a.vague()
 				j.Started = true
 			}
 		}
@@ -159,7 +161,7 @@
 			a.led.SpotTaken++
 		}
 		a.env.Log().Info("machine is to be taken away", "machine", m.Name, "in_s", r.NoticeS)
-		a.drain(m, r.NoticeS)
+		a.drain(m, "machine is being taken away")
 	}
 	if first && a.OnTrust != nil {
 		a.OnTrust(m)
@@ -241,8 +243,13 @@
 	case model.CauseDone:
 		task.Errors = 0
 		m.Clear()
-		a.led.Ran(p)
+		if m.Gap <= a.vague() {
+			a.led.Ran(p)
+		}
 		a.led.Finished(j, p.Task)
+		if m.Pace.TooSlow() && !m.Leaving {
+			a.setAside(m)
+		}
 		return
 	case model.CauseError:
 		task.Errors++
@@ -318,13 +325,25 @@
 	}
 }
 
+// vague is the gap between reports beyond which it isn't known closely when a
+// task began or ended: a cut makes tasks look slow that are not.
+func (a *Actor) vague() time.Duration { return 2 * a.cfg.Report }
+
+// setAside has a machine returned on which tasks take much longer than the same
+// jobs' tasks elsewhere. What can save goes on elsewhere at once.
+func (a *Actor) setAside(m *ledger.Machine) {
+	a.env.Log().Info("machine set aside, its tasks take much longer than elsewhere", "machine", m.Name, "factor", m.Pace.Factor())
+	m.Leaving = true
+	a.drain(m, "machine is too slow")
+}
+
 // drain saves what can be saved before a machine is taken.
-func (a *Actor) drain(m *ledger.Machine, noticeS float64) {
+func (a *Actor) drain(m *ledger.Machine, why string) {
 	for _, p := range m.List() {
 		if p.Gone || p.Stopping {
 			continue
 		}
-		a.Evict(p, "machine is being taken away")
+		a.Evict(p, why)
 	}
 	m.NoPlace = a.env.Now() + time.Hour
 }
