--- a/internal/estimates/pace.go
+++ b/internal/estimates/pace.go
@@ -18,7 +18,7 @@
 	mostPace = 1.4
 	// A machine is too slow when its tasks take this much longer than the same
 	// jobs' elsewhere. Machines of a type differ by a tenth.
-	tooSlow  = 1.5
+	tooSlow  = 1.4
 	surePace = 6 // runs
 )
 
@@ -60,4 +60,4 @@
 }
 
 // TooSlow reports whether the machine is surely much slower than others.
-func (p *Pace) TooSlow() bool { return p.n >= surePace && p.mean > math.Log(tooSlow) }
+func (p *Pace) TooSlow() bool { return p.n >= surePace && p.Factor() > tooSlow }
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -4,6 +4,7 @@
 package workers
 
 import (
+	"math"
 	"sort"
 	"strconv"
 	"time"
@@ -332,7 +333,7 @@
 // setAside has a machine returned on which tasks take much longer than the same
 // jobs' tasks elsewhere. What can save goes on elsewhere at once.
 func (a *Actor) setAside(m *ledger.Machine) {
-	a.env.Log().Info("machine set aside, its tasks take much longer than elsewhere", "machine", m.Name, "factor", m.Pace.Factor())
+	a.env.Log().Info("machine set aside, its tasks take much longer than elsewhere", "machine", m.Name, "factor", math.Round(100*m.Pace.Factor())/100)
 	m.Leaving = true
 	a.drain(m, "machine is too slow")
 }
