Health-gated roll-outs of services: records, plan, checks, door, simulator

A new version of a service is rolled out in steps that begin only while checks pass; otherwise the last good version comes back by itself.

Change: internal/rollout (leader's actor, users' door), b/s/ and b/h/ records, job records of format 3 for versions, masks and ports in the ledger, stand-in services in the simulator with bounds checked at every start and stop.

--- a/brooklb.go
+++ b/brooklb.go
@@ -17,6 +17,8 @@
 type Config struct {
 	// SettingsFile is the platform's TOML file.
 	SettingsFile string
+	// Rollouts lets users roll out new versions of services.
+	Rollouts bool
 	// Log receives the log; nil means the default logger.
 	Log *slog.Logger
 }
@@ -24,6 +26,7 @@
 // Service is one controller.
 type Service struct {
 	set *settings.Settings
+	opt node.Options
 	log *slog.Logger
 }
 
@@ -36,7 +39,7 @@
 	if c.Log == nil {
 		c.Log = slog.Default()
 	}
-	return &Service{set: set, log: c.Log.With("node", set.Label)}, nil
+	return &Service{set: set, opt: node.Options{Rollouts: c.Rollouts}, log: c.Log.With("node", set.Label)}, nil
 }
 
 // Run serves until ctx ends.
@@ -48,7 +51,7 @@
 	lim := s.set.Facts.Limits
 	// A quarter of the sockets is kept for our own calls.
 	loop := httpx.NewLoop(s.set.Bind, s.set.ClusterListen, lim.Sockets*3/4, hash(s.set.Label), s.log)
-	n := node.New(loop, s.set)
+	n := node.New(loop, s.set, s.opt)
 	s.log.Info("starting", "listen", s.set.Bind)
 	return loop.Run(ctx, n, n.Start)
 }
--- a/cmd/brooklb/main.go
+++ b/cmd/brooklb/main.go
@@ -54,7 +54,7 @@
 
 func root() *cobra.Command {
 	var config string
-	var check bool
+	var check, rollouts bool
 	c := &cobra.Command{
 		Use:           "brooklb",
 		Short:         "a cluster scheduler: some controllers of one program, without disks",
@@ -71,7 +71,7 @@
 				return usageError{errors.New("--config FILE is missing")}
 			}
 			log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level()}))
-			s, err := brooklb.New(brooklb.Config{SettingsFile: config, Log: log})
+			s, err := brooklb.New(brooklb.Config{SettingsFile: config, Rollouts: rollouts, Log: log})
 			if err != nil || check {
 				if err == nil {
 					fmt.Println("settings are good")
@@ -82,6 +82,7 @@
 		},
 	}
 	c.Flags().StringVar(&config, "config", "", "the platform's settings file (TOML)")
+	c.Flags().BoolVar(&rollouts, "rollouts", false, "let users roll out new versions of services")
 	c.Flags().BoolVar(&check, "check", false, "check the settings and end")
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
 	c.AddCommand(&cobra.Command{Use: "version", Short: "print the version", Run: func(*cobra.Command, []string) { fmt.Println("brooklb", version) }})
--- a/internal/actor/actor.go
+++ b/internal/actor/actor.go
@@ -35,12 +35,17 @@
 	Body    []byte
 	Type    string // content type, JSON when empty
 	Timeout time.Duration
+	Once    bool // on a connection of its own, which is closed after the answer
 	Done    func(Answer)
 }
 
 // ErrNotSent says that no connection could be had: the peer has seen nothing.
 var ErrNotSent = errors.New("not sent")
 
+// ErrRefused says, together with ErrNotSent, that the host itself refused the
+// connection: nobody listens there.
+var ErrRefused = errors.New("connection refused")
+
 // ErrNoAnswer says that the request may have been executed, or may still be.
 var ErrNoAnswer = errors.New("no answer")
 
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -138,7 +138,15 @@
 	return true
 }
 
-// check finds out whether the job can ever run.
+// Check finds out whether the job can ever run; known is false while the machine
+// types aren't.
+func (a *Actor) Check(s *model.Spec) (known bool, err error) {
+	if len(a.types) == 0 {
+		return false, nil
+	}
+	return true, a.check(s)
+}
+
 func (a *Actor) check(s *model.Spec) error {
 	team, ok := a.teams[s.Team]
 	if !ok {
--- a/internal/consolidate/consolidate.go
+++ b/internal/consolidate/consolidate.go
@@ -199,7 +199,7 @@
 func Movable(p *ledger.Placement, now time.Duration, cfg Config) bool {
 	s := p.Job.Spec
 	switch {
-	case p.Stopping || !p.Durable || p.Job.Final != ledger.Open || s.Kind == model.Gang || s.Priority >= cfg.LockedAt:
+	case p.Stopping || !p.Durable || p.Job.Rolling || p.Job.Port > 0 || p.Job.Final != ledger.Open || s.Kind == model.Gang || s.Priority >= cfg.LockedAt:
 		return false
 	case p.Phase != model.Running:
 		return false
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -88,7 +88,7 @@
 		m.ListedAt = a.env.Now()
 		m.Listed = lm.State
 	}
-	m.Missing = 0
+	m.Missing, m.ListedAddr = 0, lm.Addr
 	if lm.State == "failed" {
 		a.Return(m, "failed")
 	}
--- a/internal/fleet/rent.go
+++ b/internal/fleet/rent.go
@@ -154,7 +154,7 @@
 func (a *Actor) wanted(j *ledger.Job, use map[string]model.Need) int {
 	n := 0
 	for i := range j.Tasks {
-		if !j.Tasks[i].Done && j.Tasks[i].P == nil && j.Tasks[i].NotBefore <= a.env.Now()+10*time.Second {
+		if !j.Tasks[i].Done && !j.Tasks[i].Off && j.Tasks[i].P == nil && j.Tasks[i].NotBefore <= a.env.Now()+10*time.Second {
 			n++
 		}
 	}
@@ -194,7 +194,7 @@
 			fetch = time.Duration(j.Spec.ImageGB / t.FetchGBs * float64(time.Second))
 		}
 		for _, z := range t.Zones {
-			if j.Spec.Zone != "" && j.Spec.Zone != z {
+			if j.Spec.Zone != "" && j.Spec.Zone != z || j.Zone != "" && j.Zone != z {
 				continue
 			}
 			if d := a.boot(t.Name, z) + fetch; !ok || d < best {
@@ -258,7 +258,7 @@
 			continue
 		}
 		for _, z := range t.Zones {
-			if zone != "" && z != zone || j != nil && j.Spec.Zone != "" && j.Spec.Zone != z {
+			if zone != "" && z != zone || j != nil && (j.Spec.Zone != "" && j.Spec.Zone != z || j.Zone != "" && j.Zone != z) {
 				continue
 			}
 			for _, spot := range []bool{true, false} {
--- a/internal/httpx/loop.go
+++ b/internal/httpx/loop.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"brooklb/internal/actor"
@@ -332,9 +333,11 @@
 	p := l.pools[call.Addr]
 	if p == nil {
 		p = &pool{addr: call.Addr}
-		l.pools[call.Addr] = p
+		if !call.Once {
+			l.pools[call.Addr] = p
+		}
 	}
-	for len(p.idle) > 0 {
+	for len(p.idle) > 0 && !call.Once {
 		d := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
 		if d.gone {
@@ -357,6 +360,9 @@
 				_ = c.Close()
 			}
 		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			err = errors.Join(actor.ErrRefused, err)
+		}
 		if err != nil {
 			_ = l.loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
 				l.refresh()
@@ -369,6 +375,11 @@
 
 func (l *Loop) opened(d *dialed) {
 	if d.call == nil { // given up meanwhile; keep the connection for the next call
+		if l.pools[d.p.addr] != d.p {
+			d.gone = true
+			_ = d.c.Close()
+			return
+		}
 		l.park(d)
 		return
 	}
@@ -466,7 +477,7 @@
 	// The answer is copied: the continuation may send on this connection.
 	body = append([]byte(nil), body...)
 	_, _ = c.Discard(n)
-	if closing {
+	if closing || d.call.Once {
 		d.gone = true
 	} else {
 		call := d.call
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -26,6 +26,7 @@
 	avoidEnds time.Duration
 	Want      *Machine // machine it is being moved to
 	WantUntil time.Duration
+	Off       bool // not wanted now, by a roll-out
 }
 
 // Avoid keeps the task off a machine until the given time. Not for ever: when
@@ -80,7 +81,41 @@
 	faults  faults
 	class   *estimates.Class
 	runs    estimates.Runs
-	next    int // hint for the first task that may be idle
+	off     int // tasks that are off, not done and not placed
+	// Service is the name of the service that the job is a version of, "" for
+	// none. Which of its tasks are wanted the service's record says; until that was
+	// read none is started or stopped.
+	Service string
+	// Zone is the only zone in which tasks may be placed now; "": any.
+	Zone string
+	// Rolling: a roll-out counts its running tasks, nothing else may move them.
+	Rolling bool
+	// Port is what the job's tasks listen on, as far as a roll-out says, 0: nothing;
+	// PerTask: task k on Port+k.
+	Port    int
+	PerTask bool
+}
+
+// Idle is how many tasks want a machine and have none.
+func (j *Job) Idle() int { return len(j.Tasks) - j.NDone - j.Placed - j.off }
+
+// Size is how many tasks want a machine or have one.
+func (j *Job) Size() int { return j.Idle() + j.Placed }
+
+// SetWanted says which of a service's tasks are wanted. The others are not
+// started any more; those that run are the caller's to stop.
+func (l *Ledger) SetWanted(j *Job, wanted func(task int) bool) {
+	j.off = 0
+	for i := range j.Tasks {
+		t := &j.Tasks[i]
+		t.Off = !wanted(i)
+		if t.Off && t.P == nil && !t.Done {
+			j.off++
+		}
+	}
+	if l.OnChange != nil {
+		l.OnChange()
+	}
 }
 
 // Placement is one attempt of a task on a machine.
@@ -111,6 +146,7 @@
 // Machine is a rented machine as far as known.
 type Machine struct {
 	Name, Addr, Type, Zone string
+	ListedAddr             string // by the cloud's list, not by its own report
 	Spot                   bool
 	Known                  bool // type and zone are known
 	Cap                    model.Need
@@ -254,6 +290,9 @@
 
 func (l *Ledger) occupy(p *Placement) {
 	j := p.Job
+	if t := &j.Tasks[p.Task]; t.Off && t.P == nil {
+		j.off--
+	}
 	j.Tasks[p.Task].P = p
 	j.Placed++
 	i := p.M.find(j.Spec.ID, p.Task)
@@ -274,6 +313,9 @@
 	p.Gone = true
 	j.Tasks[p.Task].P = nil
 	j.Placed--
+	if j.Tasks[p.Task].Off {
+		j.off++
+	}
 	for i := p.M.find(j.Spec.ID, p.Task); i < len(p.M.P); i++ {
 		if p.M.P[i] == p {
 			p.M.P = append(p.M.P[:i], p.M.P[i+1:]...)
@@ -288,7 +330,6 @@
 	if t := l.Teams[j.Spec.Team]; t != nil {
 		t.Used = t.Used.Sub(j.Spec.Need)
 	}
-	j.next = min(j.next, p.Task)
 }
 
 // Plan places an idle task on a machine. The start follows once it is durable.
--- a/internal/ledger/load.go
+++ b/internal/ledger/load.go
@@ -55,13 +55,16 @@
 			chunks: make([]chunk, r.Chunks()), class: l.Estimates.Class(r.spec.Class)}
 		age := max(0, l.env.Wall().UnixMilli()-r.At)
 		j.Since = l.env.Now() - time.Duration(age)*time.Millisecond
+		if r.Service != "" {
+			l.SetWanted(j, func(int) bool { return false })
+		}
 		l.Jobs[id] = j
 		i := sort.Search(len(l.order), func(i int) bool { return l.order[i].Since > j.Since })
 		l.order = append(l.order, nil)
 		copy(l.order[i+1:], l.order[i:])
 		l.order[i] = j
 	}
-	j.Stamp, j.Rec = it.Stamp, r
+	j.Stamp, j.Rec, j.Service = it.Stamp, r, r.Service
 	if r.Final != Open && j.Final == Open {
 		j.Final = r.Final
 		l.env.Log().Info("job over", "job", id, "phase", r.Final)
--- a/internal/ledger/ran_test.go
+++ b/internal/ledger/ran_test.go
@@ -31,6 +31,48 @@
 	}
 }
 
+// TestServiceRecords guards versions of services from being taken for ordinary jobs:
+// their records have a format that older programs refuse, and none of their tasks
+// is wanted until the service's record says so. Older records are read as before.
+func TestServiceRecords(t *testing.T) {
+	r := NewRecord(spec("j-2", 3), 0, "", 50)
+	r.OfService("shop")
+	if r.V <= Format {
+		t.Errorf("format %d would be read by programs that know no services", r.V)
+	}
+	_, l := start(t, map[string]string{JobKey("j-1"): record("j-1", 3, 50, Open), JobKey("j-2"): string(r.Encode()),
+		JobKey("j-3"): `{"v":3,"at":0,"k":1,"s":{"k":0}}`})
+	if j := l.Jobs["j-1"]; j.Idle() != 3 || j.Service != "" {
+		t.Errorf("a job of format %d has %d idle tasks", Format, j.Idle())
+	}
+	j := l.Jobs["j-2"]
+	if j.Idle() != 0 || j.Service != "shop" {
+		t.Errorf("%d tasks of a version nobody asked for yet want a machine", j.Idle())
+	}
+	if l.Jobs["j-3"] != nil {
+		t.Error("a record of format 3 without a service was read")
+	}
+	l.SetWanted(j, func(i int) bool { return i == 1 })
+	m := l.Machine("m")
+	l.Describe(m, "g8", "z", false)
+	p := l.Plan(j, 1, 1, m)
+	l.SetWanted(j, func(i int) bool { return i != 1 })
+	if j.Idle() != 2 || j.Placed != 1 || j.Size() != 3 {
+		t.Errorf("%d idle, %d placed", j.Idle(), j.Placed)
+	}
+	l.Lost(p, "gone")
+	if j.Idle() != 2 || j.Placed != 0 || j.Size() != 2 {
+		t.Errorf("%d idle, %d placed after the end of what isn't wanted", j.Idle(), j.Placed)
+	}
+	j.Port, j.PerTask = 8000, true
+	other := l.Jobs["j-1"]
+	other.Port = 8002
+	l.Plan(other, 0, 1, m)
+	if j.PortFree(2, m) || !j.PortFree(1, m) || !j.MayListen(m) || other.PortFree(1, m) {
+		t.Error("ports on one machine are mixed up")
+	}
+}
+
 // fleetLedger has 10,400 live tasks on 1,300 machines.
 func fleetLedger(b *testing.B) (*env, *Ledger) {
 	items := map[string]string{}
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -19,6 +19,10 @@
 	// Format is the version of the records written. Version 1 had 48 tasks in
 	// every chunk; it is read, too.
 	Format = 2
+	// ServiceFormat is the version of records of jobs that are versions of a
+	// service. A program that knows no roll-outs must not take them for jobs whose
+	// tasks are all to be started: it leaves them alone.
+	ServiceFormat = 3
 )
 
 // Tasks in a chunk. A task's state rarely takes more than taskBytes: the number
@@ -56,7 +60,9 @@
 	Tasks int         `json:"k"`
 	Chunk int         `json:"c,omitempty"` // tasks in a chunk
 	Spec  *specRecord `json:"s,omitempty"`
-	spec  *model.Spec `json:"-"`
+	// Service is the name of the service that the job is a version of.
+	Service string      `json:"svc,omitempty"`
+	spec    *model.Spec `json:"-"`
 }
 
 type specRecord struct {
@@ -91,6 +97,9 @@
 		Est: s.EstimateS, Ckpt: s.CheckpointS, Save: s.SaveS, Due: s.DeadlineS}}
 }
 
+// OfService makes the job a version of a service.
+func (r *JobRecord) OfService(name string) { r.V, r.Service = ServiceFormat, name }
+
 // Encode makes the value of the record.
 func (r *JobRecord) Encode() []byte {
 	b, err := json.Marshal(r)
@@ -107,7 +116,7 @@
 	if err := json.Unmarshal(b, &r); err != nil {
 		return nil, fmt.Errorf("job record %s: %w", id, err)
 	}
-	if r.V < 1 || r.V > Format {
+	if r.V < 1 || r.V > ServiceFormat || r.V > Format && r.Service == "" {
 		return nil, fmt.Errorf("job record %s: format %d is not known here", id, r.V)
 	}
 	if r.Chunk == 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 
 import (
 	"math"
+	"strings"
 	"time"
 
 	"brooklb/internal/actor"
@@ -16,6 +17,7 @@
 	"brooklb/internal/model"
 	"brooklb/internal/peer"
 	"brooklb/internal/placement"
+	"brooklb/internal/rollout"
 	"brooklb/internal/settings"
 	"brooklb/internal/statestore"
 	"brooklb/internal/wire"
@@ -29,6 +31,8 @@
 	store *statestore.Store
 	elect *leader.Actor
 	adm   *admission.Actor
+	door  *rollout.Door
+	opt   Options
 	peers *peer.Actor
 	warm  *images.Actor
 	term  *term
@@ -52,6 +56,7 @@
 	led       *ledger.Ledger
 	workers   *workers.Actor
 	fleet     *fleet.Actor
+	rollouts  *rollout.Actor
 	scheduled bool
 	closed    bool
 	lastPass  time.Duration
@@ -71,10 +76,17 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
+// Options are what an operator may turn on beyond the platform's settings.
+type Options struct {
+	// Rollouts lets users roll out services. A leader moves roll-outs on that are
+	// there in any case.
+	Rollouts bool
+}
+
 // New makes a node; Start sets it going.
-func New(env actor.Env, set *settings.Settings) *Node {
+func New(env actor.Env, set *settings.Settings, opt Options) *Node {
 	f := &set.Facts
-	n := &Node{env: env, set: set, knocks: map[string]time.Duration{}, woke: -time.Hour}
+	n := &Node{env: env, set: set, opt: opt, knocks: map[string]time.Duration{}, woke: -time.Hour}
 	// A leader that can't reach the state service may keep workers' leases
 	// alive for so long that a job cancelled through another node is still gone
 	// in time: the hold, then a lease, with a margin for drift and delays.
@@ -83,8 +95,17 @@
 		Nodes: f.Nodes, TxnOps: f.State.TxnOps, ValueBytes: int(f.State.ValueKB * 1024)})
 	n.warm = images.New(env, n.store)
 	n.adm = admission.New(env, n.store, f.Teams, f.Zones)
+	n.door = rollout.NewDoor(env, n.store, f.Teams)
+	n.door.Check = n.adm.Check
 	n.peers = peer.New(env, set.Peers, n.status)
 	n.peers.OnLeader = n.newer
+	n.door.Understood = func() bool { return n.peers.AllRead(ledger.ServiceFormat) }
+	n.door.Live = func(name string) (*wire.RolloutLive, string) {
+		if n.term == nil {
+			return nil, ""
+		}
+		return n.term.rollouts.Live(name)
+	}
 	n.adm.Live = n.live
 	n.adm.Healthy = n.healthy
 	n.adm.Elsewhere = func(r *httpx.Request, done func(httpx.Response, bool)) bool {
@@ -101,6 +122,8 @@
 	n.store.Subscribe(func(key string, it *statestore.Item) {
 		if t := n.term; t != nil && len(key) > len(ledger.JobPrefix) && key[:len(ledger.JobPrefix)] == ledger.JobPrefix {
 			t.led.JobEvent(key, it)
+		} else if t != nil && strings.HasPrefix(key, rollout.Prefix) {
+			t.rollouts.Event(key, it)
 		}
 	})
 	n.elect = leader.New(env, n.store, set.Label, n.lead, n.lose)
@@ -123,7 +146,7 @@
 func (n *Node) Leading() (uint64, bool) { return n.elect.Token(), n.term != nil }
 
 func (n *Node) status() peer.Status {
-	st := peer.Status{Label: n.set.Label, State: (n.env.Now() - n.store.Contact()).Milliseconds(), Leading: n.term != nil, Workers: n.knocking()}
+	st := peer.Status{Label: n.set.Label, State: (n.env.Now() - n.store.Contact()).Milliseconds(), Leading: n.term != nil, Workers: n.knocking(), Reads: ledger.ServiceFormat}
 	if n.term != nil {
 		st.Token = n.term.token
 	}
@@ -228,7 +251,7 @@
 		reply(httpx.Response{Status: 200, Body: n.view})
 		return
 	}
-	if n.adm.Serve(r, false, reply) {
+	if n.adm.Serve(r, false, reply) || n.opt.Rollouts && n.door.Serve(r, reply) {
 		return
 	}
 	reply(httpx.Response{Status: 404, Body: wire.Error("no such path")})
@@ -281,6 +304,7 @@
 	n.elect.Stood()
 	if t := n.term; t != nil {
 		t.workers.Stood(gap)
+		t.rollouts.Stood(gap)
 	}
 }
 
@@ -297,7 +321,11 @@
 		}
 	}
 	t.led.Load()
+	t.rollouts = rollout.New(n.env, t.led, n.store, token, rollout.Config{Share: f.Limits.CPUShare, Report: seconds(f.Workers.ReportS)})
+	t.rollouts.OnDeposed = func() { n.elect.Deposed(token) }
 	t.workers = workers.New(n.env, t.led, token, workers.Config{Lease: seconds(f.Workers.LeaseS), Hold: n.hold, Report: seconds(f.Workers.ReportS)})
+	t.rollouts.Load()
+	t.workers.OnEnded = t.rollouts.Ended
 	t.workers.OnNewer = func() { n.elect.Deposed(token) }
 	t.workers.OnStuck = func() { n.elect.Resign("a start that was called off may still arrive, a new token makes it void") }
 	t.workers.OnTrust = func(*ledger.Machine) { t.wake() }
@@ -322,6 +350,7 @@
 		t.closed = true
 		t.led.Close()
 		t.workers.Close()
+		t.rollouts.Close()
 		t.fleet.Close()
 		n.term = nil
 	}
@@ -346,6 +375,10 @@
 		// The cloud doesn't know tokens: a leader that may be none any more
 		// must not return machines that another is using.
 		t.fleet.Tick()
+		t.rollouts.Tick()
+	}
+	if t.closed {
+		return
 	}
 	t.led.Kick()
 	t.workersBack()
--- a/internal/node/overview.go
+++ b/internal/node/overview.go
@@ -96,7 +96,7 @@
 		}
 	}
 	for _, j := range t.left {
-		jobs.WaitingTasks += len(j.Tasks) - j.NDone - j.Placed
+		jobs.WaitingTasks += j.Idle()
 	}
 	return c, jobs
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -29,6 +29,9 @@
 	Token   uint64 `cbor:"5,keyasint,omitempty"` // with which it leads
 	// Workers is how many workers lately came here looking for the leader.
 	Workers int `cbor:"6,keyasint,omitempty"`
+	// Reads is the newest format of job records that its program reads, 0 for
+	// programs that don't say.
+	Reads int `cbor:"7,keyasint,omitempty"`
 }
 
 const (
@@ -171,6 +174,17 @@
 	return n, heard == len(a.peers)
 }
 
+// AllRead reports whether every peer that was heard of lately reads job records of
+// the format. During an upgrade some don't.
+func (a *Actor) AllRead(format int) bool {
+	for _, k := range a.known {
+		if a.env.Now()-k.at <= fresh && k.Reads < format {
+			return false
+		}
+	}
+	return true
+}
+
 // Heard reports whether any peer has said something lately.
 func (a *Actor) Heard() bool {
 	for _, k := range a.known {
--- a/internal/placement/claims.go
+++ b/internal/placement/claims.go
@@ -37,7 +37,7 @@
 	claims := Claims{}
 	use, claimed := map[*ledger.Team]model.Need{}, map[*ledger.Team]model.Need{}
 	var rest []*ledger.Job
-	need := func(j *ledger.Job) model.Need { return j.Spec.Need.Times(float64(len(j.Tasks) - j.NDone)) }
+	need := func(j *ledger.Job) model.Need { return j.Spec.Need.Times(float64(j.Size())) }
 	for _, j := range l.Order() {
 		t := l.Teams[j.Spec.Team]
 		if t == nil || j.Final != ledger.Open || j.Faulty() || !t.Guarantees(model.Need{}) {
@@ -47,7 +47,7 @@
 			use[t] = u
 			// What is stopped soon after its start has not started for the aim, and
 			// what was late for it is still owed a start.
-			if now <= aims.guaranteed(j)+freshStart || j.Begun < len(j.Tasks) {
+			if now <= aims.guaranteed(j)+freshStart || j.Begun < j.NDone+j.Size() {
 				claims[j] = Promised
 				claimed[t] = claimed[t].Add(need(j))
 				continue
@@ -71,5 +71,5 @@
 
 // work is how much a job's tasks that are not done take, in its owner's estimate.
 func work(j *ledger.Job) float64 {
-	return float64(len(j.Tasks)-j.NDone) * max(j.Spec.Need.CPUs, j.Spec.Need.GPUs, 1) * max(1, j.EstimateS())
+	return float64(j.Size()) * max(j.Spec.Need.CPUs, j.Spec.Need.GPUs, 1) * max(1, j.EstimateS())
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -27,8 +27,8 @@
 	return m.Known && m.Heard && !m.Gone && !m.Leaving && !m.Notice && v.Now >= m.NoPlace && v.Now-m.LastHeard <= v.Silent
 }
 
-// Order lists the open jobs with idle tasks, most urgent first: work within a
-// team's guarantee, then priority (the order in which Stops lets work be
+// Order lists the open jobs with idle tasks, most urgent first: the larger claim on
+// a team's guarantee (Claim), then priority (the order in which Stops lets work be
 // stopped, too), then jobs that can still meet an aim, then
 // the least work left. When there is too much work, going by age makes
 // everybody late; the small jobs first keeps the most of them in time. What
@@ -91,7 +91,7 @@
 
 // Waiting reports whether a job has tasks that want a machine.
 func Waiting(j *ledger.Job) bool {
-	return j.Final == ledger.Open && !j.Broken && j.Readable() && j.NDone+j.Placed < len(j.Tasks)
+	return j.Final == ledger.Open && !j.Broken && j.Readable() && j.Idle() > 0
 }
 
 // Run places what can be placed and returns the jobs that still wait, both in
@@ -184,7 +184,7 @@
 // apart from room and from where its other tasks are.
 func Allowed(j *ledger.Job, m *ledger.Machine) bool {
 	s := j.Spec
-	return s.AllowsType(m.Type) && (s.Zone == "" || s.Zone == m.Zone) && (s.Spot || !m.Spot)
+	return s.AllowsType(m.Type) && (s.Zone == "" || s.Zone == m.Zone) && (j.Zone == "" || j.Zone == m.Zone) && (s.Spot || !m.Spot) && j.MayListen(m)
 }
 
 // zones counts the job's placements by zone; ok is false while one of them is
@@ -241,7 +241,7 @@
 	defer func() { r.drop(h.taken) }()
 	for i := range j.Tasks {
 		t := &j.Tasks[i]
-		if t.Done || t.P != nil {
+		if t.Done || t.P != nil || t.Off {
 			continue
 		}
 		if t.NotBefore > v.Now {
@@ -253,7 +253,7 @@
 			j.Waits = "the team's limit is used up"
 			return false
 		}
-		if w := t.Want; w != nil && v.Now < t.WantUntil && Usable(w, v) && Allowed(j, w) && s.Need.Fits(w.Free()) && zoneAllows(j, count, w.Zone) {
+		if w := t.Want; w != nil && v.Now < t.WantUntil && Usable(w, v) && Allowed(j, w) && s.Need.Fits(w.Free()) && zoneAllows(j, count, w.Zone) && j.PortFree(i, w) {
 			l.Plan(j, i, t.Attempt+1, w) // its move was planned with all others of its machine
 			count[w.Zone]++
 			continue
@@ -267,8 +267,8 @@
 			}
 			heap.Init(&h)
 		}
-		plain = plain && t.Avoids(v.Now) == nil
-		m := h.next(l, v, j, t, count)
+		plain = plain && t.Avoids(v.Now) == nil && j.Zone == "" && j.Port == 0
+		m := h.next(v, j, i, count)
 		if m == nil {
 			j.Waits = "no machine has room"
 			if plain {
@@ -292,7 +292,7 @@
 // wants reports whether a task of the job is being moved somewhere.
 func wants(j *ledger.Job) bool {
 	for i := range j.Tasks {
-		if j.Tasks[i].Want != nil && j.Tasks[i].P == nil && !j.Tasks[i].Done {
+		if t := &j.Tasks[i]; t.Want != nil && t.P == nil && !t.Done && !t.Off {
 			return true
 		}
 	}
@@ -342,7 +342,8 @@
 
 // next takes the best machine for the task out of the heap. Those that only
 // this task must not use are put back.
-func (h *choices) next(l *ledger.Ledger, v *View, j *ledger.Job, t *ledger.Task, count map[string]int) *ledger.Machine {
+func (h *choices) next(v *View, j *ledger.Job, task int, count map[string]int) *ledger.Machine {
+	t := &j.Tasks[task]
 	var back []choice
 	defer func() {
 		for _, c := range back {
@@ -351,7 +352,7 @@
 	}()
 	for len(h.cs) > 0 {
 		c := heap.Pop(h).(choice)
-		if c.m == t.Avoids(v.Now) || !zoneAllows(j, count, c.m.Zone) {
+		if c.m == t.Avoids(v.Now) || !zoneAllows(j, count, c.m.Zone) || !j.PortFree(task, c.m) {
 			back = append(back, c)
 			continue
 		}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -63,10 +63,10 @@
 	return cost + 3, true
 }
 
-// mayStop says whether a job may take the place of a task. What runs within its
-// team's guarantee yields to nobody but what does so too; within and beyond the
-// guarantees alike, work yields to higher priority; and what runs beyond
-// yields, whatever its priority, to another team's claim within. That is an
+// mayStop says whether a job may take the place of a task. A larger claim on a
+// guarantee never yields to a smaller one; with claims alike, work yields to higher
+// priority; and what has no claim and runs beyond its team's guarantee yields,
+// whatever its priority, to another team's claim. That is an
 // order: if work of high priority beyond its team's guarantee could stop what
 // is within, and the other way round, the two would take turns (tbilisi grown,
 // rough: a task stopped fifty times).
@@ -156,7 +156,7 @@
 	l, v := st.l, st.v
 	s := j.Spec
 	team := l.Teams[s.Team]
-	n := len(j.Tasks) - j.NDone - j.Placed
+	n := j.Idle()
 	home, known := homeZone(j)
 	if team == nil || n == 0 || !known || j.Placed > 0 && s.Kind == model.Gang && !ledger.Forming(j) {
 		return nil
@@ -275,7 +275,7 @@
 			best, bestCost = pick, cost
 		}
 	}
-	if best == nil && home == "" {
+	if best == nil && home == "" && j.Zone == "" && j.Port == 0 {
 		st.failed = append(st.failed, noStop{j, n, st.claims[j], image})
 	}
 	var out []*ledger.Placement
--- a/internal/placement/project.go
+++ b/internal/placement/project.go
@@ -91,7 +91,7 @@
 
 func (s *Slot) allows(j *ledger.Job) bool {
 	sp := j.Spec
-	return sp.AllowsType(s.Type) && (sp.Zone == "" || sp.Zone == s.Zone) && (sp.Spot || !s.Spot)
+	return sp.AllowsType(s.Type) && (sp.Zone == "" || sp.Zone == s.Zone) && (j.Zone == "" || j.Zone == s.Zone) && (sp.Spot || !s.Spot) && (s.M == nil || j.MayListen(s.M))
 }
 
 // earliest is when the need fits on the slot.
@@ -206,7 +206,8 @@
 func (q *Queue) Take() *Slot {
 	r := q.h[0]
 	r.s.take(r.at, q.j.Spec.Need, runs(q.j))
-	if t, ok := r.s.earliest(q.j.Spec.Need); ok {
+	// Of tasks with one port only one fits.
+	if t, ok := r.s.earliest(q.j.Spec.Need); ok && (q.j.Port == 0 || q.j.PerTask) {
 		q.h[0].at = t + q.pr.fetch(q.j, r.s)
 		heap.Fix(q, 0)
 	} else {
--- a/internal/sim/cloud.go
+++ b/internal/sim/cloud.go
@@ -14,6 +14,7 @@
 	w           *World
 	machines    map[string]*Machine
 	byAddr      map[string]*Machine
+	byHost      map[string]*Machine
 	charters    map[string][]byte
 	next        int
 	outageUntil time.Duration
@@ -44,7 +45,7 @@
 }
 
 func newCloud(w *World) *Cloud {
-	c := &Cloud{w: w, machines: map[string]*Machine{}, byAddr: map[string]*Machine{}, charters: map[string][]byte{}, bucket: 8}
+	c := &Cloud{w: w, machines: map[string]*Machine{}, byAddr: map[string]*Machine{}, byHost: map[string]*Machine{}, charters: map[string][]byte{}, bucket: 8}
 	c.snap()
 	return c
 }
@@ -91,6 +92,8 @@
 		Zone: zone, Spot: spot, born: c.w.now, tenure: 1, tasks: map[string]*runner{}, images: map[string]bool{}, node: c.w.rng.IntN(c.w.cfg.Nodes)}
 	c.machines[m.Name] = m
 	c.byAddr[m.Addr] = m
+	ip, _, _ := strings.Cut(m.Addr, ":")
+	c.byHost[ip] = m
 	if c.w.rng.IntN(40) == 0 && bootS > 1 {
 		return m // never comes up
 	}
--- a/internal/sim/machine.go
+++ b/internal/sim/machine.go
@@ -350,6 +350,9 @@
 	r.from = r.m.w.now
 	r.m.changed()
 	if r.job.shape == "standing" {
+		if s, ok := r.job.ends(); ok {
+			r.in(s, func() { r.exit("error", false) })
+		}
 		return
 	}
 	r.in(r.m.slowed(r.job.left(r.task)), func() {
@@ -367,6 +370,7 @@
 }
 
 func (r *runner) halt(grace float64) {
+	r.m.w.checkHalt(r)
 	switch r.phase {
 	case "ended", "gone":
 	case "running":
--- /dev/null
+++ b/internal/sim/rollout_measure_test.go
@@ -0,0 +1,55 @@
+package sim
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// TestRolloutFailures plays seeded roll-outs whose new version fails at a random
+// moment, and measures from the first bad answer to the last replacement stopped
+// and to the old version back in whole. The bounds of the checks are what they
+// can be: three failures in a row at an interval of 2 s are 4 to 7 s.
+func TestRolloutFailures(t *testing.T) {
+	n := len(seeds(t, 10))
+	toStop, toBack := hdrhistogram.New(1, 600_000, 3), hdrhistogram.New(1, 600_000, 3)
+	replaced, changes := 0, uint64(0)
+	for seed := range uint64(n) {
+		w := serviceWorld(t, Config{Seed: 2000 + seed}, 12)
+		late := 5 + w.rng.IntN(40)
+		w.mustRollout(t, Version{Service: "shop", Job: next("j-2", fmt.Sprintf("web:late=%d", late), 12), From: "j-1", Surge: 1 + w.rng.IntN(3), Unavailable: w.rng.IntN(2),
+			Plan: map[string]any{"steps": []any{1, "25%", "50%"}, "bake_s": 8.0, "window_s": 30.0}, Health: health})
+		epoch := w.State.epoch
+		begun := map[*runner]bool{}
+		state := ""
+		var at time.Duration
+		for end := w.now + 20*time.Minute; state == "" && w.now < end; {
+			w.Run(w.now + 100*time.Millisecond)
+			for _, r := range w.services["shop"].instances(w) {
+				if r.job.id == "j-2" {
+					begun[r] = true
+				}
+			}
+			if state, _, _ = w.Past("shop", 1); state != "" {
+				at = w.now
+			}
+		}
+		j := w.jobs["j-2"]
+		if state != "rolled back" || j.firstBad == 0 {
+			t.Fatalf("seed %d: %q, first bad answer at %v", seed, state, j.firstBad)
+		}
+		replaced += len(begun)
+		changes += w.State.epoch - epoch
+		_ = toStop.RecordValue(max(1, (w.services["shop"].Halted["j-1"] - j.firstBad).Milliseconds()))
+		_ = toBack.RecordValue((at - j.firstBad).Milliseconds())
+		if d := w.services["shop"].Halted["j-1"] - j.firstBad; d > 10*time.Second {
+			t.Errorf("seed %d: an old instance was stopped %v after the first bad answer", seed, d)
+		}
+		w.noneBroken(t)
+	}
+	t.Logf("%d roll-outs: from the first bad answer to the last replacement p50 %d, p99 %d ms; to the old version back p50 %d, p90 %d, p99 %d ms",
+		n, toStop.ValueAtQuantile(50), toStop.ValueAtQuantile(99), toBack.ValueAtQuantile(50), toBack.ValueAtQuantile(90), toBack.ValueAtQuantile(99))
+	t.Logf("%d new instances begun, %.1f changes of the state service for each", replaced, float64(changes)/float64(replaced))
+}
--- a/internal/sim/rules.go
+++ b/internal/sim/rules.go
@@ -32,6 +32,7 @@
 		w.broke("wrong_place", "%s is the %d. of %d in %s", r.key, inZone, j.tasks, r.m.Zone)
 	}
 	w.checkQuota(j.team)
+	w.checkSurge(r)
 }
 
 // checkOn holds when a task has its image.
@@ -66,7 +67,7 @@
 	if r.job.shape == "ensemble" {
 		w.gangOf(r).lost(r)
 	}
-	_ = was
+	w.instanceGone(r, was)
 }
 
 // runners are the attempts of the job that machines know.
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -27,6 +27,12 @@
 	Submitted                      time.Duration
 	// StartedAt is when the first task ran.
 	polls int
+	// A version of a service: which one's, and where its instances are asked.
+	service string
+	port    int
+	perTask bool
+	// firstBad is when an instance of it first answered a check badly.
+	firstBad time.Duration
 	// starts counts the starts of its tasks.
 	starts int
 }
@@ -72,27 +78,8 @@
 
 // Submit has a user submit a job now, poll it and perhaps cancel it.
 func (w *World) Submit(d Job) {
-	if d.Urgency == "" {
-		d.Urgency = "standard"
-	}
-	j := &userJob{id: d.ID, shape: d.Shape, team: d.Team, image: d.Image, yard: d.Yard, urgency: d.Urgency, tasks: d.Tasks, cpus: d.CPUs, gpus: d.GPUs,
-		imageGB: d.ImageGB, samePlace: d.SamePlace, apart: d.Apart, spot: d.Spot, bad: d.Bad, runS: d.RunS, snapshotS: d.SnapshotS, stowS: d.StowS,
-		results: map[int]bool{}, saved: map[int]time.Duration{}, asked: true, Submitted: w.now}
-	w.jobs[d.ID] = j
-	var yard, due any
-	if d.DueS > 0 {
-		due = d.DueS
-	}
-	expect := d.ExpectS
-	if expect == 0 {
-		expect = d.RunS
-	}
-	if d.Yard != "" {
-		yard = d.Yard
-	}
-	body := mustJSON(map[string]any{"ref": d.ID, "lane": "c-" + d.Shape, "crew": d.Team, "shape": d.Shape, "urgency": d.Urgency, "shards": d.Tasks,
-		"cpus": d.CPUs, "gpus": d.GPUs, "memory_gb": 1.0, "bundle": d.Image, "size_gb": d.ImageGB, "hulls": nil, "yard": yard,
-		"same_place": d.SamePlace, "apart": d.Apart, "loaners": d.Spot, "expect_s": expect, "snapshot_s": d.SnapshotS, "stow_s": d.StowS, "due_s": due})
+	j, desc := w.describe(d)
+	body := mustJSON(desc)
 	if d.CancelAfter > 0 {
 		w.after(d.CancelAfter, func() { w.cancel(j) })
 	}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -44,23 +44,25 @@
 
 // World is one simulated day.
 type World struct {
-	cfg     Config
-	rng     *rand.Rand
-	now     time.Duration
-	events  eventHeap
-	seq     uint64
-	Set     []*settings.Settings
-	nodes   []*simNode
-	State   *State
-	Cloud   *Cloud
-	jobs    map[string]*userJob
-	gangs   map[string]*gang
-	cuts    map[[2]string]*cut
-	Broken  []string
-	Started int
-	Done    int
+	cfg      Config
+	rng      *rand.Rand
+	now      time.Duration
+	events   eventHeap
+	seq      uint64
+	Set      []*settings.Settings
+	nodes    []*simNode
+	State    *State
+	Cloud    *Cloud
+	jobs     map[string]*userJob
+	gangs    map[string]*gang
+	services map[string]*userService
+	cuts     map[[2]string]*cut
+	Broken   []string
+	Started  int
+	Done     int
 	// Polls counts users' polls, Refused those that got 503.
 	Polls, Refused int
+	Checks         int // of services' health
 	log            *slog.Logger
 	// Garbage is how seldom (one in so many) an answer to a controller has a
 	// body that makes no sense; 0: never.
@@ -236,7 +238,7 @@
 	s.up, s.since, s.alarm, s.frozen, s.alive = true, w.now, 0, 0, w.now
 	s.timers = actor.Timers{}
 	s.gen++
-	s.n = node.New(&nodeEnv{s, s.gen}, s.set)
+	s.n = node.New(&nodeEnv{s, s.gen}, s.set, node.Options{Rollouts: true})
 	s.n.Start()
 	s.arm()
 }
@@ -341,6 +343,10 @@
 	if m := w.Cloud.byAddr[addr]; m != nil {
 		return m
 	}
+	ip, port, _ := strings.Cut(addr, ":")
+	if m := w.Cloud.byHost[ip]; m != nil {
+		return &endpoint{m, port}
+	}
 	return nil
 }
 
@@ -388,6 +394,15 @@
 		w.after(w.latency(), func() { finish(actor.Answer{Err: actor.ErrNotSent}) })
 		return
 	}
+	if e, ok := h.(*endpoint); ok {
+		switch {
+		case e.m.gone || !e.m.up || e.m.hanging():
+			connected = false // nobody completes the connection
+		case connected && e.runner() == nil:
+			w.after(w.latency(), func() { finish(actor.Answer{Err: errors.Join(actor.ErrNotSent, actor.ErrRefused)}) })
+			return
+		}
+	}
 	w.after(c.Timeout, func() {
 		if connected {
 			finish(actor.Answer{Err: errors.Join(actor.ErrNoAnswer, errors.New("timed out"))})
@@ -467,7 +482,7 @@
 	if cfg.CloudRPS == 0 {
 		cfg.CloudRPS = 4
 	}
-	w := &World{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 7)), jobs: map[string]*userJob{}, gangs: map[string]*gang{},
+	w := &World{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 7)), jobs: map[string]*userJob{}, gangs: map[string]*gang{}, services: map[string]*userService{},
 		cuts: map[[2]string]*cut{}, log: cfg.Log}
 	w.State = newState(w)
 	w.Cloud = newCloud(w)
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -35,6 +35,8 @@
 	OnNewer func()                  // a worker has seen a higher token
 	OnTrust func(m *ledger.Machine) // a machine reports for the first time
 	OnStuck func()                  // only a higher token can settle a start
+	// OnEnded hears of a service's task that ended by itself.
+	OnEnded func(p *ledger.Placement, cause string)
 }
 
 const (
@@ -240,6 +242,9 @@
 	now := a.env.Now()
 	j, m := p.Job, p.M
 	task := &j.Tasks[p.Task]
+	if j.Spec.Kind == model.Service && a.OnEnded != nil && ownEnd(t.Cause) {
+		a.OnEnded(p, t.Cause)
+	}
 	switch t.Cause {
 	case model.CauseDone:
 		task.Errors = 0
@@ -280,6 +285,16 @@
 	a.led.Lost(p, cause)
 }
 
+// ownEnd reports whether a task ended by itself, and was not stopped, refused or
+// left alone.
+func ownEnd(cause string) bool {
+	switch cause {
+	case model.CauseStopped, model.CausePeers, model.CauseAlone, model.CauseNoRoom, model.CauseBusy, model.CauseUnknown:
+		return false
+	}
+	return true
+}
+
 // avoidFor is how long a task keeps off the machine it failed on.
 const avoidFor = time.Minute
 
