--- a/internal/sim/rollout_measure_test.go
+++ b/internal/sim/rollout_measure_test.go
@@ -15,13 +15,13 @@
 func TestRolloutFailures(t *testing.T) {
 	n := len(seeds(t, 10))
 	toStop, toBack := hdrhistogram.New(1, 600_000, 3), hdrhistogram.New(1, 600_000, 3)
-	replaced, changes := 0, uint64(0)
+	replaced, changes := 0, 0
 	for seed := range uint64(n) {
 		w := serviceWorld(t, Config{Seed: 2000 + seed}, 12)
 		late := 5 + w.rng.IntN(40)
 		w.mustRollout(t, Version{Service: "shop", Job: next("j-2", fmt.Sprintf("web:late=%d", late), 12), From: "j-1", Surge: 1 + w.rng.IntN(3), Unavailable: w.rng.IntN(2),
 			Plan: map[string]any{"steps": []any{1, "25%", "50%"}, "bake_s": 8.0, "window_s": 30.0}, Health: health})
-		epoch := w.State.epoch
+		before := w.State.Changed
 		begun := map[*runner]bool{}
 		state := ""
 		var at time.Duration
@@ -41,7 +41,7 @@
 			t.Fatalf("seed %d: %q, first bad answer at %v", seed, state, j.firstBad)
 		}
 		replaced += len(begun)
-		changes += w.State.epoch - epoch
+		changes += w.State.Changed - before
 		_ = toStop.RecordValue(max(1, (w.services["shop"].Halted["j-1"] - j.firstBad).Milliseconds()))
 		_ = toBack.RecordValue((at - j.firstBad).Milliseconds())
 		if d := w.services["shop"].Halted["j-1"] - j.firstBad; d > 10*time.Second {
--- a/internal/sim/rollout_test.go
+++ b/internal/sim/rollout_test.go
@@ -80,7 +80,7 @@
 		{"web:exit=3", "rolled back", "ended by", 2},
 	} {
 		w := serviceWorld(t, Config{Seed: 81}, 10)
-		before := w.State.epoch
+		before := w.State.Changed
 		h := map[string]any{}
 		for k, v := range health {
 			h[k] = v
@@ -114,7 +114,7 @@
 		}
 		_ = other
 		w.noneBroken(t)
-		t.Logf("%-12s %-12s after %v, %d new instances, %d changes: %s", c.image, state, w.now, most, w.State.epoch-before, why)
+		t.Logf("%-12s %-12s after %v, %d new instances, %d changes: %s", c.image, state, w.now, most, w.State.Changed-before, why)
 	}
 }
 
--- a/internal/sim/state.go
+++ b/internal/sim/state.go
@@ -28,6 +28,8 @@
 	slowUntil   time.Duration
 	// Limited counts requests over the rate, Asked all of them by host.
 	Limited int
+	// Changed counts the changes made.
+	Changed int
 	Asked   map[string]int
 	keep    int
 }
@@ -296,6 +298,7 @@
 		}
 		if len(t.Apply) > 0 {
 			s.epoch++
+			s.Changed += len(t.Apply)
 			for _, a := range t.Apply {
 				if a.Delete != "" {
 					if s.keys[a.Delete] != nil {
