brooklb dev: a cluster on one computer; rollout commands; the users' proof on loopback

People try brooklb, and a roll-out, without machines of their own.

Change: internal/dev runs controllers as processes and the simulator's own stand-ins on loopback sockets in real time, with faults at set times or from a seed; brooklb dev and rollout start, status, pause, resume, abort, withdraw, history, list.

--- a/cmd/brooklb/main.go
+++ b/cmd/brooklb/main.go
@@ -20,7 +20,7 @@
 type usageError struct{ error }
 
 func main() {
-	err := root().Execute()
+	err := root().ExecuteContext(context.Background())
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "brooklb:", err)
 	}
@@ -87,6 +87,7 @@
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
 	c.AddCommand(&cobra.Command{Use: "version", Short: "print the version", Run: func(*cobra.Command, []string) { fmt.Println("brooklb", version) }})
 	c.AddCommand(userCommands()...)
+	c.AddCommand(rolloutCommand(), devCommand())
 	for _, x := range c.Commands() {
 		x.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
 	}
--- a/cmd/brooklb/user.go
+++ b/cmd/brooklb/user.go
@@ -19,7 +19,7 @@
 // Exit statuses beside 0 (done), 1 (no answer, other failures) and 2 (usage).
 const (
 	exitUnknown = 3 // no such job
-	exitInvalid = 4 // the job is malformed or can never run
+	exitInvalid = 4 // the request is malformed, can never succeed, or not now
 )
 
 // exitError ends the program with a status of its own.
@@ -64,7 +64,7 @@
 		return b, nil
 	case 404:
 		return nil, exitError{exitUnknown, errors.New(e.Error)}
-	case 400, 422:
+	case 400, 409, 422:
 		return nil, exitError{exitInvalid, errors.New(e.Error)}
 	}
 	return nil, errors.New(e.Error)
--- /dev/null
+++ b/internal/dev/parent_other.go
@@ -0,0 +1,7 @@
+//go:build !linux
+
+package dev
+
+import "syscall"
+
+func dieWithParent() *syscall.SysProcAttr { return nil }
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -114,7 +114,7 @@
 		s.best = 0
 	}
 	if was == nil || was.N != rec.N {
-		s.ends, s.proofs = map[string]int{}, nil
+		s.ends, s.proofs, s.waits = map[string]int{}, nil, ""
 		if rec.Roll != nil {
 			s.proofs = rec.Roll.Proofs // of an earlier leader
 		}
--- a/internal/sim/cloud.go
+++ b/internal/sim/cloud.go
@@ -88,7 +88,11 @@
 
 func (c *Cloud) create(zone string, spot bool, bootS float64) *Machine {
 	c.next++
-	m := &Machine{w: c.w, Name: fmt.Sprintf("vm-%06d", c.next), Addr: fmt.Sprintf("10.1.%d.%d:9000", c.next/250, c.next%250+1),
+	addr := fmt.Sprintf("10.1.%d.%d:9000", c.next/250, c.next%250+1)
+	if c.w.outside != nil {
+		addr = fmt.Sprintf("%s.%d.%d:9000", c.w.cfg.Net, 2+c.next/250%250, c.next%250+1)
+	}
+	m := &Machine{w: c.w, Name: fmt.Sprintf("vm-%06d", c.next), Addr: addr,
 		Zone: zone, Spot: spot, born: c.w.now, tenure: 1, tasks: map[string]*runner{}, images: map[string]bool{}, node: c.w.rng.IntN(c.w.cfg.Nodes)}
 	c.machines[m.Name] = m
 	c.byAddr[m.Addr] = m
@@ -107,6 +111,9 @@
 	c.w.after(c.w.secs(bootS*0.6, bootS*1.5), func() {
 		if !m.gone {
 			m.up = true
+			if c.w.outside != nil {
+				c.w.outside.Up(m)
+			}
 			m.leaseFrom = c.w.now
 			m.report()
 			m.leaseCheck()
--- a/internal/sim/machine.go
+++ b/internal/sim/machine.go
@@ -69,6 +69,9 @@
 	}
 	m.gone, m.goneAt = true, m.w.now
 	m.kill()
+	if m.w.outside != nil {
+		m.w.outside.Gone(m)
+	}
 }
 
 // Die ends the machine on its own.
@@ -271,6 +274,12 @@
 	id, n, _ := strings.Cut(o.Shard, "/")
 	task, _ := strconv.Atoi(n)
 	j := w.jobs[id]
+	if j == nil && w.outside != nil { // its description was not uploaded
+		r := &runner{m: m, key: key, job: &userJob{id: id, shape: "sweep", tasks: task + 1}, task: task, attempt: o.Launch, phase: "pulling", from: w.now}
+		m.tasks[key] = r
+		r.exit("unknown", false)
+		return
+	}
 	if j == nil || !j.asked || task >= j.tasks {
 		w.broke("invented", "start of %s, which nobody submitted", o.Shard)
 		return
@@ -350,6 +359,9 @@
 	r.from = r.m.w.now
 	r.m.changed()
 	if r.job.shape == "standing" {
+		if r.m.w.outside != nil && r.listens() > 0 {
+			r.m.w.outside.Listen(r.m, r.key, r.listens())
+		}
 		if s, ok := r.job.ends(); ok {
 			r.in(s, func() { r.exit("error", false) })
 		}
--- a/internal/sim/rules.go
+++ b/internal/sim/rules.go
@@ -68,6 +68,9 @@
 		w.gangOf(r).lost(r)
 	}
 	w.instanceGone(r, was)
+	if w.outside != nil && r.listens() > 0 {
+		w.outside.Unlisten(r.m, r.key)
+	}
 }
 
 // runners are the attempts of the job that machines know.
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -40,6 +40,10 @@
 	GPUs          float64
 	BootS         float64
 	Log           *slog.Logger
+	// Outside has the stand-ins on real sockets; nil: all is simulated. Then Net is
+	// the part of the loopback network that they have, such as "127.20".
+	Outside Outside
+	Net     string
 }
 
 // World is one simulated day.
@@ -74,6 +78,7 @@
 	OnSend func(from string, c actor.Call)
 	// Delay holds a single request up on its way, Lag a single answer.
 	Delay, Lag func(from string, c actor.Call) time.Duration
+	outside    Outside
 }
 
 type event struct {
@@ -367,6 +372,10 @@
 // send carries a request and its answer. What a cut holds arrives when the cut
 // ends, whether or not the sender still waits.
 func (w *World) send(from string, c actor.Call) {
+	if w.outside != nil {
+		w.outside.Send(from, c)
+		return
+	}
 	if w.OnSend != nil {
 		w.OnSend(from, c)
 	}
@@ -483,13 +492,19 @@
 		cfg.CloudRPS = 4
 	}
 	w := &World{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 7)), jobs: map[string]*userJob{}, gangs: map[string]*gang{}, services: map[string]*userService{},
-		cuts: map[[2]string]*cut{}, log: cfg.Log}
+		cuts: map[[2]string]*cut{}, log: cfg.Log, outside: cfg.Outside}
 	w.State = newState(w)
 	w.Cloud = newCloud(w)
 	for i := 0; i < cfg.Nodes; i++ {
 		s := &settings.Settings{Label: fmt.Sprintf("n%d", i), Location: cfg.NodeZones[i%len(cfg.NodeZones)],
 			Bind: fmt.Sprintf("10.0.0.%d:8080", i+1), ClusterListen: fmt.Sprintf("10.0.0.%d:8081", i+1)}
 		s.External.State, s.External.Cloud = stateAddr, cloudAddr
+		if cfg.Outside != nil {
+			// Each controller has its own address of the same stand-ins, so that they
+			// know who asks.
+			s.Bind, s.ClusterListen = fmt.Sprintf("%s.0.%d:8080", cfg.Net, i+1), fmt.Sprintf("%s.0.%d:8081", cfg.Net, i+1)
+			s.External.State, s.External.Cloud = fmt.Sprintf("%s.1.%d:2379", cfg.Net, i+1), fmt.Sprintf("%s.1.%d:8443", cfg.Net, i+1)
+		}
 		f := &s.Facts
 		f.Nodes, f.Zones, f.Teams, f.Objectives = cfg.Nodes, cfg.Zones, cfg.Teams, cfg.Objectives
 		f.Workers.ReportS, f.Workers.LeaseS, f.Workers.GangWaitS, f.Workers.GangPeerS, f.Workers.CancelS = 3, 30, 30, 5, 58
@@ -507,7 +522,9 @@
 		n := &simNode{w: w, host: s.Label, addr: s.Bind, set: s, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(100+i))),
 			skew: 1 + (w.rng.Float64()-0.5)*0.001}
 		w.nodes = append(w.nodes, n)
-		w.boot(i)
+		if cfg.Outside == nil {
+			w.boot(i)
+		}
 	}
 	for i := 0; i < cfg.Initial; i++ {
 		w.Cloud.create(cfg.Zones[i%len(cfg.Zones)], false, 0.1)
