--- a/cmd/brooklb/user_test.go
+++ b/cmd/brooklb/user_test.go
@@ -26,6 +26,19 @@
 			answer(200, `{"ref":"j-000412","phase":"running","done":3,"running":13,"why":"task 2 attempt 1 on vm-000007: machine lost"}`)
 		case "POST /v2/runs/j-000412/withdraw":
 			answer(200, `{"ref":"j-000412","phase":"withdrawn"}`)
+		case "GET /services/shop":
+			answer(200, `{"service":"shop","version":"j-1","rollout":{"id":"shop/3","from":"j-1","to":"j-2","at_ms":5,"state":"baking","paused":true,"step":2,"steps":3,"new":4,"old":5,"all":9,
+				"why":"watched for another 5 s","evidence":["j-2/0 on vm-1 failed"],"live":{"new_healthy":3,"new_sick":1,"old_healthy":5,"check_p50_ms":2,"check_every_s":5}}}`)
+		case "GET /services/till":
+			answer(200, `{"service":"till","version":"j-1"}`)
+		case "GET /services/till/history":
+			answer(200, `{"rollouts":[{"id":"till/1","from":"j-1","to":"j-2","by":"ana","at_ms":5,"end_ms":90005,"state":"rolled back","step":1,"steps":3,"why":"answered 500"}]}`)
+		case "GET /services":
+			answer(200, `{"services":[{"service":"shop","version":"j-1"},{"service":"gone","ended":true}],"more":3}`)
+		case "POST /services/shop/rollouts":
+			answer(409, `{"error":"roll-out shop/3 is under way"}`)
+		case "POST /services/shop/pause", "POST /services/shop/abort":
+			answer(200, `{"service":"shop","version":"j-1"}`)
 		case "GET /overview":
 			answer(200, `{"node":"n0","healthy":true,"leading":true,"leader":"n0","token":7,"led_s":12,"state_silent_s":0.1,
 				"machines":{"total":5,"running":3.5},"jobs":{"open":2,"waiting":1,"waiting_tasks":4,"at_fault":1},
@@ -66,6 +79,22 @@
 		{args: []string{"overview", "--to=127.0.0.1:1"}, status: 1},
 		{args: []string{"overview", "--nonsense"}, status: 2},
 		{args: []string{"nonsense"}, status: 2},
+		{args: []string{"rollout", "status", to, "shop"}, want: "shop: j-1 serves; roll-out shop/3 to j-2: baking, step 2 of 3, 4 of 9 instances new, 5 old, paused (new: 3 healthy, 1 sick, 0 unknown; old: 5 healthy)\nwhy: watched"},
+		{args: []string{"rollout", "status", to, "--json", "shop"}, want: `"state":"baking"`},
+		{args: []string{"rollout", "status", to, "--watch", "till"}, want: "till: j-1 serves", status: exitFailed},
+		{args: []string{"rollout", "status", to, "nobody"}, status: exitUnknown},
+		{args: []string{"rollout", "status", to, "Not a name"}, status: 2},
+		{args: []string{"rollout", "history", to, "till"}, want: "1m30s"},
+		{args: []string{"rollout", "list", to}, want: "gone: withdrawn\nand 3 more"},
+		{args: []string{"rollout", "start", to, "shop", "-"}, in: `{}`, status: exitInvalid},
+		{args: []string{"rollout", "start", to, "shop", "../../examples/rollout-good.json"}, status: exitInvalid},
+		{args: []string{"rollout", "pause", to, "--why=lunch", "shop"}, want: "shop: j-1 serves"},
+		{args: []string{"rollout", "abort", to}, status: 2},
+		{args: []string{"rollout", "undo"}, status: 2},
+		{args: []string{"rollout"}, status: 2},
+		{args: []string{"dev", "--controllers=0"}, status: 2},
+		{args: []string{"dev", "--for=never"}, status: 2},
+		{args: []string{"dev", "--faults=/no/such/file", "--for=1s"}, status: 1},
 	} {
 		var out bytes.Buffer
 		r := root()
--- a/internal/rollout/health.go
+++ b/internal/rollout/health.go
@@ -21,8 +21,9 @@
 const (
 	// So many checks are under way at once: each is a socket.
 	mostFlying = 64
-	// checkCost is what a check takes of a whole core (BenchmarkCheck), times two;
-	// checks take no more than checkShare of the process's own share.
+	// checkCost is what a check takes of a whole core: half of what both sides take
+	// together (httpx.BenchmarkOnce), and half as much again. Checks take no more than
+	// checkShare of the process's own share.
 	checkCost  = 200 * time.Microsecond
 	checkShare = 0.2
 	// Checks that would come at the same moment are spread by so much.
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -45,7 +45,7 @@
 	// progress is when the roll-out last came nearer to its end.
 	progress time.Duration
 	best     int // healthy instances of the version that comes, at most so far
-	ends     map[string]int
+	ends     map[instanceID]int
 	proofs   []string
 	told     string
 	waits    string // why it comes no further now
@@ -104,7 +104,7 @@
 		return
 	}
 	if s == nil {
-		s = &service{name: name, ends: map[string]int{}}
+		s = &service{name: name, ends: map[instanceID]int{}}
 		a.all[name] = s
 	}
 	was := s.rec
@@ -114,7 +114,7 @@
 		s.best = 0
 	}
 	if was == nil || was.N != rec.N {
-		s.ends, s.proofs, s.waits = map[string]int{}, nil, ""
+		s.ends, s.proofs, s.waits = map[instanceID]int{}, nil, ""
 		if rec.Roll != nil {
 			s.proofs = rec.Roll.Proofs // of an earlier leader
 		}
@@ -201,9 +201,8 @@
 	if back == (s.rec.New.Job == p.Job.Spec.ID) { // only the version that comes counts
 		return
 	}
-	id := fmt.Sprintf("%s/%d", p.Job.Spec.ID, p.Task)
-	s.ends[id]++
-	s.note(fmt.Sprintf("%s on %s ended by itself: %s", id, p.M.Name, cause))
+	s.ends[instanceID{p.Job.Spec.ID, p.Task}]++
+	s.note(fmt.Sprintf("%s/%d on %s ended by itself: %s", p.Job.Spec.ID, p.Task, p.M.Name, cause))
 	if s.dirty == 0 {
 		s.dirty = a.env.Now()
 	}
@@ -228,7 +227,7 @@
 		if j == nil || i >= len(j.Tasks) {
 			continue
 		}
-		x.Sick = s.ends[fmt.Sprintf("%s/%d", v.Job, i)] >= s.rec.ends()
+		x.Sick = len(s.ends) > 0 && s.ends[instanceID{v.Job, i}] >= s.rec.ends()
 		p := j.Tasks[i].P
 		if p == nil {
 			continue
@@ -402,7 +401,7 @@
 
 func (s *service) newEnds() (n int) {
 	for id, k := range s.ends {
-		if strings.HasPrefix(id, s.rec.New.Job+"/") {
+		if id.job == s.rec.New.Job {
 			n += k
 		}
 	}
