Roll-outs: refused at the workers' own port; tests of the door and of after; files by duty

Cause: a check could be given the port at which workers take commands (found by a test). Change: such a roll-out ends before anything is touched, and nobody is asked there.

--- a/cmd/brooklb/rollout.go
+++ b/cmd/brooklb/rollout.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"os"
 	"os/user"
 	"strings"
 	"text/tabwriter"
@@ -73,18 +72,9 @@
 		Use: "start SERVICE FILE", Short: "begin a roll-out described in JSON in a file or on standard input (-)",
 		Args: services(2, "rollout start takes a service and a file, or - for standard input"),
 		RunE: func(c *cobra.Command, args []string) error {
-			in := c.InOrStdin()
-			if args[1] != "-" {
-				f, err := os.Open(args[1])
-				if err != nil {
-					return err
-				}
-				defer f.Close()
-				in = f
-			}
-			body, err := io.ReadAll(io.LimitReader(in, 64<<10+1))
+			body, err := read(c, args[1])
 			if err != nil {
-				return fmt.Errorf("%s: %w", args[1], err)
+				return err
 			}
 			r, err := wire.DecodeRollout(body)
 			if err != nil {
--- a/cmd/brooklb/user.go
+++ b/cmd/brooklb/user.go
@@ -109,6 +109,24 @@
 	}
 }
 
+// read brings a file's content, or standard input's for "-".
+func read(c *cobra.Command, file string) ([]byte, error) {
+	in := c.InOrStdin()
+	if file != "-" {
+		f, err := os.Open(file)
+		if err != nil {
+			return nil, err
+		}
+		defer f.Close()
+		in = f
+	}
+	body, err := io.ReadAll(io.LimitReader(in, 64<<10+1))
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return body, nil
+}
+
 func userCommands() []*cobra.Command {
 	var submit, status, withdraw, overview asker
 	return []*cobra.Command{
@@ -121,18 +139,9 @@
 				return nil
 			},
 			RunE: func(c *cobra.Command, args []string) error {
-				in := c.InOrStdin()
-				if args[0] != "-" {
-					f, err := os.Open(args[0])
-					if err != nil {
-						return err
-					}
-					defer f.Close()
-					in = f
-				}
-				body, err := io.ReadAll(io.LimitReader(in, 64<<10+1))
+				body, err := read(c, args[0])
 				if err != nil {
-					return fmt.Errorf("%s: %w", args[0], err)
+					return err
 				}
 				if _, err := wire.DecodeJob(body); err != nil {
 					return exitError{exitInvalid, fmt.Errorf("%s: %w", args[0], err)}
--- a/internal/rollout/health.go
+++ b/internal/rollout/health.go
@@ -175,7 +175,7 @@
 // address is where an instance is asked, "" if that isn't known. It is always on
 // the machine that the cloud listed.
 func (x *checked) address(listed string) string {
-	host, _, err := net.SplitHostPort(listed)
+	host, worker, err := net.SplitHostPort(listed)
 	if err != nil || host == "" {
 		return ""
 	}
@@ -183,7 +183,10 @@
 	if x.spec.PerTask {
 		port += x.task
 	}
-	return net.JoinHostPort(host, strconv.Itoa(port))
+	if text := strconv.Itoa(port); text != worker { // the worker takes commands there
+		return net.JoinHostPort(host, text)
+	}
+	return ""
 }
 
 func (x *checked) path() string {
--- /dev/null
+++ b/internal/sim/door_test.go
@@ -0,0 +1,131 @@
+package sim
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"brooklb/internal/actor"
+)
+
+// TestServiceDoor guards what is refused of a service: with a plain sentence, and
+// nothing changed.
+func TestServiceDoor(t *testing.T) {
+	w := serviceWorld(t, Config{Seed: 95}, 4)
+	w.Submit(Job{ID: "j-5", Shape: "sweep", Team: "free", Image: "i", ImageGB: 0.1, Tasks: 1, CPUs: 1, RunS: 500})
+	w.Submit(Job{ID: "j-6", Shape: "standing", Team: "red", Image: "web:good", ImageGB: 0.1, Tasks: 10, CPUs: 16})
+	w.Run(w.now + 20*time.Second)
+	changed := func() int {
+		n := 0
+		for k := range w.State.keys {
+			if strings.HasPrefix(k, "b/s/") || strings.HasPrefix(k, "b/h/") {
+				n++
+			}
+		}
+		return n
+	}
+	ask := func(v Version, want int, why string) {
+		t.Helper()
+		answered := false
+		w.Rollout(v, func(status int, body []byte) {
+			answered = true
+			if status != want || !strings.Contains(string(body), why) {
+				t.Errorf("%s got %d %s, want %d with %q", v.Job.ID, status, body, want, why)
+			}
+		})
+		w.Run(w.now + 3*time.Second)
+		if !answered {
+			t.Errorf("%s: no answer", v.Job.ID)
+		}
+	}
+	ok := next("j-2", "web:good", 4)
+	red := Job{ID: "j-2", Team: "red", Image: "web:good", ImageGB: 0.1, Tasks: 10, CPUs: 16}
+	far := ok
+	far.Team = "nobody"
+	many := next("j-2", "web:good", 5000)
+	for _, c := range []struct {
+		v    Version
+		want int
+		why  string
+	}{
+		{Version{Service: "shop", Job: ok, From: "j-77", Surge: 1}, 404, "no job j-77"},
+		{Version{Service: "shop", Job: ok, From: "j-5", Surge: 1}, 422, "end by themselves"},
+		{Version{Service: "shop", Job: ok, From: "j-1"}, 400, "could ever be replaced"},
+		{Version{Service: "shop", Job: next("j-1", "web:good", 4), Surge: 1}, 409, "id of its own"},
+		{Version{Service: "shop", Job: far, From: "j-1", Surge: 1}, 422, "unknown team"},
+		{Version{Service: "shop", Job: many, From: "j-1", Surge: 1}, 422, "at most 4096"},
+		{Version{Service: "shop", Job: red, From: "j-6", Surge: 1}, 422, "leaves no room"},
+		{Version{Service: "Shop", Job: ok, From: "j-1", Surge: 1}, 404, "no name of a service"},
+		{Version{Service: "shop", Job: ok, From: "j-1", Surge: 1, Plan: map[string]any{"after": "till"}}, 422, "no service till"},
+		{Version{Service: "shop", Job: ok, From: "j-1", Surge: 1, Plan: map[string]any{"after": "shop"}}, 422, "itself"},
+	} {
+		ask(c.v, c.want, c.why)
+	}
+	for verb, want := range map[string]int{"pause": 404, "abort": 404, "withdraw": 404, "history": 404, "": 404, "dance": 404} {
+		w.AskService("shop", verb, func(status int, body []byte) {
+			if status != want {
+				t.Errorf("%q of an unknown service got %d %s", verb, status, body)
+			}
+		})
+	}
+	w.Run(w.now + 3*time.Second)
+	if n := changed(); n != 0 {
+		t.Errorf("%d records were written", n)
+	}
+	// The workers' own port: found by the leader, before anything is touched.
+	w.mustRollout(t, Version{Service: "pub", Job: next("j-9", "web:good", 4), From: "j-1", Surge: 1, Health: map[string]any{"port": 8999, "per_task": true, "path": "/"}})
+	if state, why := w.until("pub", 1, time.Minute); state != "rolled back" || !strings.Contains(why, "port 9000 is the workers' own") {
+		t.Errorf("checks at the workers' port: %q because %q", state, why)
+	}
+	// A record that can't be read is nobody's to change, and starts nothing.
+	w.State.epoch++
+	w.State.keys["b/s/broken"] = &stateKey{json.RawMessage(`{"v":9}`), w.State.epoch, 0}
+	w.State.record(stateEvent{Write: "b/s/broken", Value: json.RawMessage(`{"v":9}`), Stamp: w.State.epoch})
+	w.State.notify()
+	w.Run(w.now + 3*time.Second)
+	asked := 0
+	w.ask("POST", "/services/broken/abort", nil, 5*time.Second, func(a actor.Answer) {
+		if asked = a.Status; a.Status != 503 || !strings.Contains(string(a.Body), "can't be read") {
+			t.Errorf("an unreadable record: %d %s", a.Status, a.Body)
+		}
+	})
+	w.Run(w.now + 3*time.Second)
+	if asked == 0 || string(w.State.keys["b/s/broken"].value) != `{"v":9}` {
+		t.Error("no answer, or the record was changed")
+	}
+	w.noneBroken(t)
+}
+
+// TestAfter has the roll-out of one team's service wait for another's: it begins
+// when that one is done, and never if it went back.
+func TestAfter(t *testing.T) {
+	for _, c := range []struct{ image, state string }{{"web:good", "done"}, {"web:bad", "rolled back"}} {
+		w := serviceWorld(t, Config{Seed: 96}, 4)
+		w.Submit(Job{ID: "j-6", Shape: "standing", Team: "red", Image: "web:good", ImageGB: 0.1, Tasks: 4, CPUs: 2})
+		w.Run(w.now + 30*time.Second)
+		w.mustRollout(t, Version{Service: "shop", Job: next("j-2", c.image, 4), From: "j-1", Surge: 1, Plan: map[string]any{"bake_s": 5.0}, Health: health})
+		w.Run(w.now + 3*time.Second)
+		red := next("j-7", "web:good", 4)
+		red.Team = "red"
+		other := map[string]any{"port": 9100, "per_task": true, "path": "/", "interval_s": 2.0}
+		w.mustRollout(t, Version{Service: "till", Job: red, From: "j-6", Surge: 1, Plan: map[string]any{"after": "shop"}, Health: other})
+		for w.now < 20*time.Minute {
+			w.Run(w.now + time.Second)
+			shop, _, _ := w.Past("shop", 1)
+			if r := w.ServiceRecord("till"); shop == "" && r.R != nil && r.R.S != "waiting" {
+				t.Fatalf("till is %s while shop's roll-out is under way", r.R.S)
+			}
+			if state, why, _ := w.Past("till", 1); state != "" {
+				if state != c.state || state == "rolled back" && !strings.Contains(why, "not begun") {
+					t.Errorf("till: %q because %q", state, why)
+				}
+				break
+			}
+		}
+		if state, _, _ := w.Past("till", 1); state == "" {
+			t.Error("till's roll-out doesn't end")
+		}
+		w.noneBroken(t)
+	}
+}
