Counted resources: book, records, operators' door, queues for large requests, probes

Licences and other units of which there are only so many: never overcommitted, never lost.

Change: internal/units; a unit is held by a placement like its room, from the plan to the proof that it is gone, so that nothing besides is written for it; job records of format 4; large requests are saved for by a projection of ends; brooklb units; the operator's properties file.

--- a/brooklb.go
+++ b/brooklb.go
@@ -19,6 +19,10 @@
 	SettingsFile string
 	// Rollouts lets users roll out new versions of services.
 	Rollouts bool
+	// Units lets operators set counted resources.
+	Units bool
+	// OptionsFile is the operator's own properties file, "": none.
+	OptionsFile string
 	// Log receives the log; nil means the default logger.
 	Log *slog.Logger
 }
@@ -36,10 +40,18 @@
 	if err != nil {
 		return nil, err
 	}
+	opt := node.Options{Rollouts: c.Rollouts, Units: c.Units}
+	if c.OptionsFile != "" {
+		o, err := settings.LoadOptions(c.OptionsFile)
+		if err != nil {
+			return nil, err
+		}
+		opt.Rollouts, opt.Units, opt.Declared = opt.Rollouts || o.Rollouts, opt.Units || o.Units, o.Declared
+	}
 	if c.Log == nil {
 		c.Log = slog.Default()
 	}
-	return &Service{set: set, opt: node.Options{Rollouts: c.Rollouts}, log: c.Log.With("node", set.Label)}, nil
+	return &Service{set: set, opt: opt, log: c.Log.With("node", set.Label)}, nil
 }
 
 // Run serves until ctx ends.
--- a/cmd/brooklb/dev.go
+++ b/cmd/brooklb/dev.go
@@ -59,7 +59,7 @@
 			if err != nil {
 				return fmt.Errorf("dev: %w", err)
 			}
-			cfg.Controller = func(file string) *exec.Cmd { return exec.Command(self, "--rollouts", "--config", file) }
+			cfg.Controller = func(file string) *exec.Cmd { return exec.Command(self, "--rollouts", "--units", "--config", file) }
 			if cfg.Dir == "" {
 				if cfg.Dir, err = dev.Dir(); err != nil {
 					return fmt.Errorf("dev: %w", err)
--- a/cmd/brooklb/main.go
+++ b/cmd/brooklb/main.go
@@ -53,8 +53,8 @@
 }
 
 func root() *cobra.Command {
-	var config string
-	var check, rollouts bool
+	var config, options string
+	var check, rollouts, units bool
 	c := &cobra.Command{
 		Use:           "brooklb",
 		Short:         "a cluster scheduler: some controllers of one program, without disks",
@@ -71,7 +71,7 @@
 				return usageError{errors.New("--config FILE is missing")}
 			}
 			log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level()}))
-			s, err := brooklb.New(brooklb.Config{SettingsFile: config, Rollouts: rollouts, Log: log})
+			s, err := brooklb.New(brooklb.Config{SettingsFile: config, Rollouts: rollouts, Units: units, OptionsFile: options, Log: log})
 			if err != nil || check {
 				if err == nil {
 					fmt.Println("settings are good")
@@ -83,11 +83,13 @@
 	}
 	c.Flags().StringVar(&config, "config", "", "the platform's settings file (TOML)")
 	c.Flags().BoolVar(&rollouts, "rollouts", false, "let users roll out new versions of services")
+	c.Flags().BoolVar(&units, "units", false, "let operators set counted resources")
+	c.Flags().StringVar(&options, "options", "", "the operator's own settings (properties file)")
 	c.Flags().BoolVar(&check, "check", false, "check the settings and end")
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
 	c.AddCommand(&cobra.Command{Use: "version", Short: "print the version", Run: func(*cobra.Command, []string) { fmt.Println("brooklb", version) }})
 	c.AddCommand(userCommands()...)
-	c.AddCommand(rolloutCommand(), devCommand())
+	c.AddCommand(rolloutCommand(), unitsCommand(), devCommand())
 	for _, x := range c.Commands() {
 		x.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
 	}
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -16,6 +17,7 @@
 	"brooklb/internal/model"
 	"brooklb/internal/settings"
 	"brooklb/internal/statestore"
+	"brooklb/internal/units"
 	"brooklb/internal/wire"
 )
 
@@ -31,6 +33,9 @@
 	// Elsewhere passes a request on to a node that may be able to answer it; false
 	// if there is none.
 	Elsewhere func(r *httpx.Request, done func(resp httpx.Response, ok bool)) bool
+	// Units says why a job could never have the counted resources that it asks for;
+	// understood is false while a controller runs that doesn't count them.
+	Units func(s *model.Spec) (understood bool, err error)
 	// Healthy tells whether the node can take requests.
 	Healthy func() bool
 }
@@ -144,7 +149,10 @@
 	if len(a.types) == 0 {
 		return false, nil
 	}
-	return true, a.check(s)
+	if err := a.check(s); err != nil || len(s.Units) == 0 || a.Units == nil {
+		return true, err
+	}
+	return a.Units(s)
 }
 
 func (a *Actor) check(s *model.Spec) error {
@@ -205,6 +213,21 @@
 		reply(refuse(422, 0, err.Error()))
 		return
 	}
+	if len(s.Units) > 0 && a.Units != nil {
+		understood, err := a.Units(s)
+		if errors.Is(err, units.ErrUnreadable) {
+			reply(refuse(503, 5, err.Error()))
+			return
+		}
+		if err != nil {
+			reply(refuse(422, 0, err.Error()))
+			return
+		}
+		if !understood {
+			reply(refuse(503, 30, "a controller runs a program that counts no resources: finish the upgrade first"))
+			return
+		}
+	}
 	nonce := fmt.Sprintf("%x", a.env.Rand().Uint64())
 	rec := ledger.NewRecord(s, a.env.Wall().UnixMilli(), nonce, ledger.ChunkTasks(a.store.Config().ValueBytes))
 	t := wire.Txn{When: []wire.Cond{{Path: key}}, Apply: []wire.Change{{Write: key, Value: rec.Encode()}}}
--- a/internal/consolidate/consolidate.go
+++ b/internal/consolidate/consolidate.go
@@ -52,7 +52,7 @@
 		if j.Placed > 0 && j.Spec.Kind == model.Gang {
 			continue
 		}
-		if t := l.Teams[j.Spec.Team]; t == nil || !t.Within(j.Spec.Need) {
+		if t := l.Teams[j.Spec.Team]; t == nil || !t.Within(j.Spec.Need) || l.UnitsFor(j) < 1 {
 			continue
 		}
 		if slices.ContainsFunc(no, func(s *model.Spec) bool { return s.Need == j.Spec.Need && placement.Alike(s, j.Spec) }) {
--- a/internal/fleet/rent.go
+++ b/internal/fleet/rent.go
@@ -12,6 +12,7 @@
 	"brooklb/internal/ledger"
 	"brooklb/internal/model"
 	"brooklb/internal/placement"
+	"brooklb/internal/units"
 	"brooklb/internal/wire"
 )
 
@@ -62,7 +63,7 @@
 		total++
 		return a.addNew(pr, p)
 	}
-	use := map[string]model.Need{}
+	use, units := map[string]model.Need{}, map[*units.Resource]int{}
 	// A gang's first machines are idle until its last is up: they must not be
 	// returned meanwhile, or it never comes together.
 	wanted := func(s *placement.Slot) {
@@ -74,7 +75,7 @@
 		if total >= maxRent {
 			break
 		}
-		n := a.wanted(j, use)
+		n := a.led.SomeUnits(j, a.wanted(j, use), units)
 		boot, fits := a.bootTime(j)
 		if j.Spec.Kind == model.Gang {
 			if n == 0 {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -13,6 +13,7 @@
 	"brooklb/internal/model"
 	"brooklb/internal/settings"
 	"brooklb/internal/statestore"
+	"brooklb/internal/units"
 )
 
 // Task of a job.
@@ -81,7 +82,8 @@
 	faults  faults
 	class   *estimates.Class
 	runs    estimates.Runs
-	off     int // tasks that are off, not done and not placed
+	asks    []ask // of counted resources
+	off     int   // tasks that are off, not done and not placed
 	// Service is the name of the service that the job is a version of, "" for
 	// none. Which of its tasks are wanted the service's record says; until that was
 	// read none is started or stopped.
@@ -215,6 +217,8 @@
 	Returned map[string]bool
 	// Estimates has what was learned of the owners' estimates.
 	Estimates estimates.Book
+	// Units has the counted resources.
+	Units *units.Book
 	// What was seen of spot machines being taken back: how many, and over how
 	// many machine hours.
 	SpotTaken, SpotHours float64
@@ -250,7 +254,7 @@
 // New makes the ledger of a term from the replica.
 func New(env actor.Env, store *statestore.Store, token uint64, teams []settings.Team) *Ledger {
 	l := &Ledger{env: env, store: store, token: token, Jobs: map[string]*Job{}, Machines: map[string]*Machine{},
-		Teams: map[string]*Team{}, Returned: map[string]bool{}, Estimates: estimates.Book{}, Types: map[string]*model.MachineType{}, MaxOps: store.Config().TxnOps}
+		Teams: map[string]*Team{}, Returned: map[string]bool{}, Estimates: estimates.Book{}, Units: units.NewBook(), Types: map[string]*model.MachineType{}, MaxOps: store.Config().TxnOps}
 	for _, t := range teams {
 		l.Teams[t.Name] = &Team{Team: t}
 	}
@@ -300,6 +304,7 @@
 	copy(p.M.P[i+1:], p.M.P[i:])
 	p.M.P[i] = p
 	p.M.Used = p.M.Used.Add(j.Spec.Need)
+	l.takeUnits(p)
 	if t := l.Teams[j.Spec.Team]; t != nil {
 		t.Used = t.Used.Add(j.Spec.Need)
 	}
@@ -323,6 +328,7 @@
 		}
 	}
 	p.M.Used = p.M.Used.Sub(j.Spec.Need)
+	l.giveUnits(p)
 	if len(p.M.P) == 0 {
 		p.M.Used = model.Need{}
 		p.M.IdleSince = l.env.Now()
@@ -486,6 +492,9 @@
 		return
 	}
 	delete(l.Jobs, j.Spec.ID)
+	for _, u := range j.asks {
+		l.Units.All[u.i].Asked--
+	}
 	for i, x := range l.order {
 		if x == j {
 			l.order = append(l.order[:i], l.order[i+1:]...)
--- a/internal/ledger/load.go
+++ b/internal/ledger/load.go
@@ -55,6 +55,7 @@
 			chunks: make([]chunk, r.Chunks()), class: l.Estimates.Class(r.spec.Class)}
 		age := max(0, l.env.Wall().UnixMilli()-r.At)
 		j.Since = l.env.Now() - time.Duration(age)*time.Millisecond
+		l.resolve(j)
 		if r.Service != "" {
 			l.SetWanted(j, func(int) bool { return false })
 		}
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -23,6 +23,9 @@
 	// service. A program that knows no roll-outs must not take them for jobs whose
 	// tasks are all to be started: it leaves them alone.
 	ServiceFormat = 3
+	// UnitsFormat is the version of records of jobs that ask for counted resources,
+	// which programs that don't count must not start.
+	UnitsFormat = 4
 )
 
 // Tasks in a chunk. A task's state rarely takes more than taskBytes: the number
@@ -66,39 +69,53 @@
 }
 
 type specRecord struct {
-	Class string   `json:"c"`
-	Team  string   `json:"t"`
-	Kind  uint8    `json:"k"`
-	Prio  uint8    `json:"p"`
-	CPUs  float64  `json:"cp"`
-	GPUs  float64  `json:"gp"`
-	Mem   float64  `json:"mg"`
-	Image string   `json:"i"`
-	GB    float64  `json:"ig"`
-	Any   bool     `json:"any,omitempty"`
-	Types []string `json:"ty,omitempty"`
-	Zone  string   `json:"z,omitempty"`
-	One   bool     `json:"o,omitempty"`
-	Apart bool     `json:"ap,omitempty"`
-	Spot  bool     `json:"sp,omitempty"`
-	Est   float64  `json:"e,omitempty"`
-	Ckpt  float64  `json:"ck,omitempty"`
-	Save  float64  `json:"sv,omitempty"`
-	Due   float64  `json:"du,omitempty"`
+	Class string       `json:"c"`
+	Team  string       `json:"t"`
+	Kind  uint8        `json:"k"`
+	Prio  uint8        `json:"p"`
+	CPUs  float64      `json:"cp"`
+	GPUs  float64      `json:"gp"`
+	Mem   float64      `json:"mg"`
+	Image string       `json:"i"`
+	GB    float64      `json:"ig"`
+	Any   bool         `json:"any,omitempty"`
+	Types []string     `json:"ty,omitempty"`
+	Zone  string       `json:"z,omitempty"`
+	One   bool         `json:"o,omitempty"`
+	Apart bool         `json:"ap,omitempty"`
+	Spot  bool         `json:"sp,omitempty"`
+	Est   float64      `json:"e,omitempty"`
+	Ckpt  float64      `json:"ck,omitempty"`
+	Save  float64      `json:"sv,omitempty"`
+	Due   float64      `json:"du,omitempty"`
+	Units []unitRecord `json:"u,omitempty"`
+}
+
+// unitRecord is what a job asks of a counted resource.
+type unitRecord struct {
+	Name string `json:"n"`
+	N    int    `json:"k"`
+	Job  bool   `json:"j,omitempty"`
 }
 
 // NewRecord is the record of a job just accepted, its tasks in chunks of the
 // given size.
 func NewRecord(s *model.Spec, atMS int64, nonce string, chunk int) *JobRecord {
-	return &JobRecord{V: Format, At: atMS, Nonce: nonce, Tasks: s.Tasks, Chunk: chunk, Spec: &specRecord{
+	var units []unitRecord
+	v := Format
+	for _, u := range s.Units {
+		v = UnitsFormat
+		units = append(units, unitRecord{u.Name, u.N, u.PerJob})
+	}
+	return &JobRecord{V: v, At: atMS, Nonce: nonce, Tasks: s.Tasks, Chunk: chunk, Spec: &specRecord{
 		Class: s.Class, Team: s.Team, Kind: uint8(s.Kind), Prio: uint8(s.Priority),
 		CPUs: s.Need.CPUs, GPUs: s.Need.GPUs, Mem: s.Need.MemGB, Image: s.Image, GB: s.ImageGB,
 		Any: s.Types == nil, Types: s.Types, Zone: s.Zone, One: s.OneZone, Apart: s.Spread, Spot: s.Spot,
-		Est: s.EstimateS, Ckpt: s.CheckpointS, Save: s.SaveS, Due: s.DeadlineS}}
+		Est: s.EstimateS, Ckpt: s.CheckpointS, Save: s.SaveS, Due: s.DeadlineS, Units: units}}
 }
 
 // OfService makes the job a version of a service.
-func (r *JobRecord) OfService(name string) { r.V, r.Service = ServiceFormat, name }
+func (r *JobRecord) OfService(name string) { r.V, r.Service = max(r.V, ServiceFormat), name }
 
 // Encode makes the value of the record.
 func (r *JobRecord) Encode() []byte {
@@ -116,7 +133,7 @@
 	if err := json.Unmarshal(b, &r); err != nil {
 		return nil, fmt.Errorf("job record %s: %w", id, err)
 	}
-	if r.V < 1 || r.V > ServiceFormat || r.V > Format && r.Service == "" {
+	if r.V < 1 || r.V > UnitsFormat || r.V == ServiceFormat && r.Service == "" || r.V == UnitsFormat && r.Final == Open && (r.Spec == nil || len(r.Spec.Units) == 0) {
 		return nil, fmt.Errorf("job record %s: format %d is not known here", id, r.V)
 	}
 	if r.Chunk == 0 {
@@ -133,6 +150,12 @@
 			Tasks: r.Tasks, Need: model.Need{CPUs: s.CPUs, GPUs: s.GPUs, MemGB: s.Mem}, Image: s.Image, ImageGB: s.GB,
 			Types: s.Types, Zone: s.Zone, OneZone: s.One, Spread: s.Apart, Spot: s.Spot,
 			EstimateS: s.Est, CheckpointS: s.Ckpt, SaveS: s.Save, DeadlineS: s.Due}
+		for _, u := range s.Units {
+			if u.N < 1 || u.Name == "" {
+				return nil, fmt.Errorf("job record %s: %d units of %q", id, u.N, u.Name)
+			}
+			r.spec.Units = append(r.spec.Units, model.UnitAsk{Name: u.Name, N: u.N, PerJob: u.Job})
+		}
 		if !s.Any && s.Types == nil {
 			r.spec.Types = []string{}
 		}
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -63,8 +63,26 @@
 	CheckpointS float64
 	SaveS       float64
 	DeadlineS   float64 // 0: none
+	Units       []UnitAsk
 }
 
+// UnitAsk is how many units of a counted resource a job asks for.
+type UnitAsk struct {
+	Name   string
+	N      int
+	PerJob bool // once for the whole job, while any task has a machine; else for each task
+}
+
+// AtOnce is how many units the job needs to begin with: a gang all of them.
+func (s *Spec) AtOnce(u UnitAsk) int {
+	if u.PerJob || s.Kind != Gang {
+		return u.N
+	}
+	return u.N * s.Tasks
+}
+
+func (p Priority) String() string { return [...]string{"low", "normal", "high", "production"}[p&3] }
+
 // AllowsType reports whether the job may use the machine type.
 func (s *Spec) AllowsType(t string) bool {
 	if s.Types == nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"brooklb/internal/rollout"
 	"brooklb/internal/settings"
 	"brooklb/internal/statestore"
+	"brooklb/internal/units"
 	"brooklb/internal/wire"
 	"brooklb/internal/workers"
 )
@@ -32,6 +33,7 @@
 	elect *leader.Actor
 	adm   *admission.Actor
 	door  *rollout.Door
+	desk  *units.Door
 	opt   Options
 	peers *peer.Actor
 	warm  *images.Actor
@@ -57,6 +59,9 @@
 	workers   *workers.Actor
 	fleet     *fleet.Actor
 	rollouts  *rollout.Actor
+	units     *units.Actor
+	queues    *placement.Queues
+	lastCount time.Duration
 	scheduled bool
 	closed    bool
 	lastPass  time.Duration
@@ -81,6 +86,9 @@
 	// Rollouts lets users roll out services. A leader moves roll-outs on that are
 	// there in any case.
 	Rollouts bool
+	// Units lets operators set counted resources; Declared are those of their file.
+	Units    bool
+	Declared []units.Declared
 }
 
 // New makes a node; Start sets it going.
@@ -97,6 +105,20 @@
 	n.adm = admission.New(env, n.store, f.Teams, f.Zones)
 	n.door = rollout.NewDoor(env, n.store, f.Teams)
 	n.door.Check = n.adm.Check
+	var teams []string
+	for _, t := range f.Teams {
+		teams = append(teams, t.Name)
+	}
+	n.desk = units.NewDoor(env, n.store, teams)
+	n.desk.Live = func(name string, holders bool) *wire.UnitsLive {
+		if n.term == nil {
+			return nil
+		}
+		return n.term.unitsLive(name, holders)
+	}
+	n.adm.Units = func(s *model.Spec) (understood bool, err error) {
+		return n.peers.AllRead(ledger.UnitsFormat), n.desk.Check(s)
+	}
 	n.peers = peer.New(env, set.Peers, n.status)
 	n.peers.OnLeader = n.newer
 	n.door.Understood = func() bool { return n.peers.AllRead(ledger.ServiceFormat) }
@@ -124,6 +146,8 @@
 			t.led.JobEvent(key, it)
 		} else if t != nil && strings.HasPrefix(key, rollout.Prefix) {
 			t.rollouts.Event(key, it)
+		} else if t != nil && strings.HasPrefix(key, units.Prefix) {
+			t.units.Event(key, it)
 		}
 	})
 	n.elect = leader.New(env, n.store, set.Label, n.lead, n.lose)
@@ -146,7 +170,7 @@
 func (n *Node) Leading() (uint64, bool) { return n.elect.Token(), n.term != nil }
 
 func (n *Node) status() peer.Status {
-	st := peer.Status{Label: n.set.Label, State: (n.env.Now() - n.store.Contact()).Milliseconds(), Leading: n.term != nil, Workers: n.knocking(), Reads: ledger.ServiceFormat}
+	st := peer.Status{Label: n.set.Label, State: (n.env.Now() - n.store.Contact()).Milliseconds(), Leading: n.term != nil, Workers: n.knocking(), Reads: ledger.UnitsFormat}
 	if n.term != nil {
 		st.Token = n.term.token
 	}
@@ -251,7 +275,7 @@
 		reply(httpx.Response{Status: 200, Body: n.view})
 		return
 	}
-	if n.adm.Serve(r, false, reply) || n.opt.Rollouts && n.door.Serve(r, reply) {
+	if n.adm.Serve(r, false, reply) || n.opt.Rollouts && n.door.Serve(r, reply) || n.opt.Units && n.desk.Serve(r, reply) {
 		return
 	}
 	reply(httpx.Response{Status: 404, Body: wire.Error("no such path")})
@@ -305,6 +329,7 @@
 	if t := n.term; t != nil {
 		t.workers.Stood(gap)
 		t.rollouts.Stood(gap)
+		t.units.Stood(gap)
 	}
 }
 
@@ -320,9 +345,14 @@
 			m.Images[image], m.ImageGB[image] = x.At, x.GB
 		}
 	}
+	t.units = units.NewActor(n.env, n.store, token, t.led.Units, n.opt.Declared)
+	t.queues = placement.NewQueues()
+	t.lastCount = n.env.Now()
+	t.units.Load()
 	t.led.Load()
 	t.rollouts = rollout.New(n.env, t.led, n.store, token, rollout.Config{Share: f.Limits.CPUShare, Report: seconds(f.Workers.ReportS)})
 	t.rollouts.OnDeposed = func() { n.elect.Deposed(token) }
+	t.units.OnDeposed, t.units.OnChange = t.rollouts.OnDeposed, t.wake
 	t.workers = workers.New(n.env, t.led, token, workers.Config{Lease: seconds(f.Workers.LeaseS), Hold: n.hold, Report: seconds(f.Workers.ReportS)})
 	t.rollouts.Load()
 	t.workers.OnEnded = t.rollouts.Ended
@@ -351,6 +381,7 @@
 		t.led.Close()
 		t.workers.Close()
 		t.rollouts.Close()
+		t.units.Close()
 		t.fleet.Close()
 		n.term = nil
 	}
@@ -376,10 +407,12 @@
 		// must not return machines that another is using.
 		t.fleet.Tick()
 		t.rollouts.Tick()
+		t.units.Tick()
 	}
 	if t.closed {
 		return
 	}
+	t.countUnits()
 	t.led.Kick()
 	t.workersBack()
 	t.overview()
@@ -498,6 +531,8 @@
 	v.Machines = placement.Candidates(t.led, v)
 	placement.Release(v)
 	order := placement.Order(t.led, v, claims)
+	t.queues.Refresh(t.led, order, now)
+	v.Units = t.queues
 	stops := placement.NewStops(t.led, v, claims)
 	for _, j := range order {
 		if t.aims.Prompt(j) && j.Spec.Kind == model.Gang && !j.Faulty() && t.mayStopFor(j, t.cleared) {
--- /dev/null
+++ b/internal/node/units.go
@@ -0,0 +1,137 @@
+package node
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"brooklb/internal/ledger"
+	"brooklb/internal/model"
+	"brooklb/internal/units"
+	"brooklb/internal/wire"
+)
+
+const (
+	// countEvery is how often it is noted how resources stand.
+	countEvery = time.Second
+	// mostHolders bounds how many holders one answer lists.
+	mostHolders = 200
+)
+
+// countUnits notes how the resources stand, and stops what exceeds a count where the
+// operator wants that.
+func (t *term) countUnits() {
+	now := t.n.env.Now()
+	span := now - t.lastCount
+	if span < countEvery {
+		return
+	}
+	t.lastCount = now
+	for _, r := range t.led.Units.All {
+		if r.Asked == 0 && r.Used == 0 {
+			continue
+		}
+		r.Count(span, t.queues.Waiting(r) > 0)
+		if r.Rec != nil && r.Rec.Shed && !r.Broken && r.Used > r.There() {
+			t.shed(r)
+		}
+	}
+}
+
+// shed stops what exceeds a count that was lowered: the lowest priority, then the
+// newest first.
+func (t *term) shed(r *units.Resource) {
+	over := r.Used - r.There()
+	var ps []*ledger.Placement
+	for who, n := range r.Holders {
+		switch h := who.(type) {
+		case *ledger.Placement:
+			if h.Stopping {
+				over -= n
+			} else {
+				ps = append(ps, h)
+			}
+		case *ledger.Job:
+			for i := range h.Tasks {
+				if p := h.Tasks[i].P; p != nil && p.Stopping {
+					over -= n
+					break
+				}
+			}
+		}
+	}
+	slices.SortFunc(ps, func(a, b *ledger.Placement) int {
+		return cmp.Or(cmp.Compare(a.Job.Spec.Priority, b.Job.Spec.Priority), cmp.Compare(b.Since, a.Since), cmp.Compare(a.Job.Spec.ID, b.Job.Spec.ID), cmp.Compare(a.Task, b.Task))
+	})
+	for _, p := range ps {
+		if over <= 0 {
+			return
+		}
+		over -= r.Holders[p]
+		grace := 0.0
+		if p.Job.Spec.CheckpointS > 0 && p.Phase == model.Running {
+			grace = p.Job.Spec.SaveS + 1
+		}
+		t.n.env.Log().Info("stopping what exceeds a resource's count", "resource", r.Name, "job", p.Job.Spec.ID, "task", p.Task, "machine", p.M.Name)
+		t.led.Stop(p, grace, "resource "+r.Name+" has fewer units now")
+	}
+}
+
+// unitsLive is what the leader sees of a resource.
+func (t *term) unitsLive(name string, holders bool) *wire.UnitsLive {
+	r := t.led.Units.Get(name)
+	if r == nil {
+		return &wire.UnitsLive{}
+	}
+	v := &wire.UnitsLive{Used: r.Used, Free: max(0, r.There()-r.Used), Jobs: r.Asked, Waiting: t.queues.Waiting(r), BusyS: tenth(r.BusyS), IdleS: tenth(r.IdleS),
+		WaitP50: tenth(r.WaitS(50)), WaitP99: tenth(r.WaitS(99))}
+	if !holders {
+		return v
+	}
+	now := t.n.env.Now()
+	for who, n := range r.Holders {
+		h := wire.HolderView{Units: n, Task: -1}
+		switch x := who.(type) {
+		case *ledger.Placement:
+			h.Job, h.Task, h.Attempt, h.Machine = x.Job.Spec.ID, x.Task, x.Attempt, x.M.Name
+			h.ForS, h.Until = tenth((now - x.Since).Seconds()), t.until(x)
+		case *ledger.Job:
+			h.Job, h.Until = x.Spec.ID, fmt.Sprintf("the last of its %d tasks that have a machine is gone", x.Placed)
+			for i := range x.Tasks {
+				if p := x.Tasks[i].P; p != nil {
+					h.ForS = max(h.ForS, tenth((now - p.Since).Seconds()))
+				}
+			}
+		}
+		v.Holders = append(v.Holders, h)
+	}
+	slices.SortFunc(v.Holders, func(a, b wire.HolderView) int {
+		return cmp.Or(cmp.Compare(b.ForS, a.ForS), cmp.Compare(a.Job, b.Job), cmp.Compare(a.Task, b.Task))
+	})
+	if n := len(v.Holders); n > mostHolders {
+		v.Holders, v.More = v.Holders[:mostHolders], n-mostHolders
+	}
+	return v
+}
+
+// until says what has to happen for a placement's units to be free.
+func (t *term) until(p *ledger.Placement) string {
+	now, m := t.n.env.Now(), p.M
+	switch {
+	case !p.Durable:
+		return "its start is being written"
+	case m.ReturnSent || m.Leaving:
+		return "the cloud says that its machine is gone, or its end is reported"
+	case !m.Heard:
+		return fmt.Sprintf("its machine reports, or its lease has surely run out (in %.0f s)", max(0, (t.workers.DeadAt(m)-now).Seconds()))
+	case now-m.LastHeard > 3*seconds(t.n.set.Facts.Workers.ReportS):
+		return fmt.Sprintf("its machine, silent for %.0f s, reports again, or its lease has surely run out (in %.0f s)", (now - m.LastHeard).Seconds(),
+			max(0, (t.workers.DeadAt(m)-now).Seconds()))
+	case p.Stopping:
+		return "its end is reported: it was told to stop"
+	case p.Phase == model.Fetching || !p.Seen:
+		return "its end is reported: it is being started"
+	}
+	return "its end is reported: it runs"
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -20,6 +20,8 @@
 	// Holds tells for which job a machine's free room is kept.
 	Holds map[*ledger.Machine]*Hold
 	Aims  *Aims
+	// Units says who may take counted resources; nil: nobody asks for any.
+	Units *Queues
 }
 
 // Usable reports whether the machine can take new tasks at all.
@@ -253,6 +255,9 @@
 			j.Waits = "the team's limit is used up"
 			return false
 		}
+		if !v.Units.Allow(l, j, 1) {
+			return false
+		}
 		if w := t.Want; w != nil && v.Now < t.WantUntil && Usable(w, v) && Allowed(j, w) && s.Need.Fits(w.Free()) && zoneAllows(j, count, w.Zone) && j.PortFree(i, w) {
 			l.Plan(j, i, t.Attempt+1, w) // its move was planned with all others of its machine
 			count[w.Zone]++
@@ -471,6 +476,9 @@
 		j.Waits = "the team's limit is used up"
 		return false
 	}
+	if !v.Units.Allow(l, j, n) {
+		return false
+	}
 	const waits = "not enough machines have room at once"
 	if r.hopeless(j.Spec, n) && !v.holdsFor(j) {
 		j.Waits = waits
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -170,8 +170,11 @@
 			n--
 		}
 	}
-	if n == 0 {
-		return nil
+	if n = min(n, l.UnitsFor(j)); s.Kind == model.Gang && n < j.Idle() {
+		return st.freeUnits(j) // room alone would not help it
+	}
+	if n <= 0 {
+		return st.freeUnits(j)
 	}
 	image := ""
 	if warm {
--- a/internal/sim/rules.go
+++ b/internal/sim/rules.go
@@ -33,6 +33,7 @@
 	}
 	w.checkQuota(j.team)
 	w.checkSurge(r)
+	w.checkUnits(r)
 }
 
 // checkOn holds when a task has its image.
--- a/internal/sim/service.go
+++ b/internal/sim/service.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"sort"
 	"strconv"
 	"strings"
 	"time"
@@ -144,7 +145,17 @@
 		yard = d.Yard
 	}
 	w.jobs[d.ID] = j
-	return j, map[string]any{"ref": d.ID, "lane": "c-" + d.Shape, "crew": d.Team, "shape": d.Shape, "urgency": d.Urgency, "shards": d.Tasks,
+	asks := []map[string]any{}
+	var names []string
+	for name := range d.Units {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		asks = append(asks, map[string]any{"name": name, "count": d.Units[name]})
+	}
+	j.units = d.Units
+	return j, map[string]any{"units": asks, "ref": d.ID, "lane": "c-" + d.Shape, "crew": d.Team, "shape": d.Shape, "urgency": d.Urgency, "shards": d.Tasks,
 		"cpus": d.CPUs, "gpus": d.GPUs, "memory_gb": 1.0, "bundle": d.Image, "size_gb": d.ImageGB, "hulls": nil, "yard": yard,
 		"same_place": d.SamePlace, "apart": d.Apart, "loaners": d.Spot, "expect_s": expect, "snapshot_s": d.SnapshotS, "stow_s": d.StowS, "due_s": due}
 }
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -27,6 +27,7 @@
 	Submitted                      time.Duration
 	// StartedAt is when the first task ran.
 	polls int
+	units map[string]int // of counted resources, for each task
 	// A version of a service: which one's, and where its instances are asked.
 	service string
 	port    int
@@ -60,6 +61,7 @@
 	RunS, SnapshotS, StowS       float64
 	ExpectS, DueS                float64 // the owner's estimate, 0: the truth; the deadline, 0: none
 	CancelAfter                  time.Duration
+	Units                        map[string]int // of counted resources, for each task
 }
 
 func (w *World) pick() *simNode {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -20,6 +20,7 @@
 	"brooklb/internal/httpx"
 	"brooklb/internal/node"
 	"brooklb/internal/settings"
+	"brooklb/internal/units"
 )
 
 // Config of a world.
@@ -40,6 +41,8 @@
 	GPUs          float64
 	BootS         float64
 	Log           *slog.Logger
+	// Declared are the counted resources of the operator's file.
+	Declared []units.Declared
 	// Outside has the stand-ins on real sockets; nil: all is simulated. Then Net is
 	// the part of the loopback network that they have, such as "127.20".
 	Outside Outside
@@ -60,6 +63,7 @@
 	jobs     map[string]*userJob
 	gangs    map[string]*gang
 	services map[string]*userService
+	units    map[string][]unitsSet
 	cuts     map[[2]string]*cut
 	Broken   []string
 	Started  int
@@ -79,6 +83,8 @@
 	// Delay holds a single request up on its way, Lag a single answer.
 	Delay, Lag func(from string, c actor.Call) time.Duration
 	outside    Outside
+	// Taken is what the probe of a resource answers, less than 0: nothing.
+	Taken int
 }
 
 type event struct {
@@ -243,7 +249,7 @@
 	s.up, s.since, s.alarm, s.frozen, s.alive = true, w.now, 0, 0, w.now
 	s.timers = actor.Timers{}
 	s.gen++
-	s.n = node.New(&nodeEnv{s, s.gen}, s.set, node.Options{Rollouts: true})
+	s.n = node.New(&nodeEnv{s, s.gen}, s.set, node.Options{Rollouts: true, Units: true, Declared: w.cfg.Declared})
 	s.n.Start()
 	s.arm()
 }
@@ -339,6 +345,8 @@
 		return w.State
 	case addr == cloudAddr:
 		return w.Cloud
+	case addr == ProbeAddr:
+		return probed{w}
 	}
 	for _, s := range w.nodes {
 		if s.addr == addr || s.set.ClusterListen == addr {
@@ -491,7 +499,7 @@
 	if cfg.CloudRPS == 0 {
 		cfg.CloudRPS = 4
 	}
-	w := &World{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 7)), jobs: map[string]*userJob{}, gangs: map[string]*gang{}, services: map[string]*userService{},
+	w := &World{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 7)), jobs: map[string]*userJob{}, gangs: map[string]*gang{}, services: map[string]*userService{}, units: map[string][]unitsSet{},
 		cuts: map[[2]string]*cut{}, log: cfg.Log, outside: cfg.Outside}
 	w.State = newState(w)
 	w.Cloud = newCloud(w)
--- /dev/null
+++ b/internal/units/door.go
@@ -0,0 +1,250 @@
+package units
+
+import (
+	"fmt"
+	"strings"
+
+	"brooklb/internal/actor"
+	"brooklb/internal/httpx"
+	"brooklb/internal/model"
+	"brooklb/internal/statestore"
+	"brooklb/internal/wire"
+)
+
+// Door answers what operators ask about resources, on every node.
+type Door struct {
+	env   actor.Env
+	store *statestore.Store
+	teams map[string]bool
+	// Live is what a leader sees of a resource, with its holders or not; nil on other
+	// nodes.
+	Live func(name string, holders bool) *wire.UnitsLive
+}
+
+// NewDoor makes the door of a node.
+func NewDoor(env actor.Env, store *statestore.Store, teams []string) *Door {
+	d := &Door{env: env, store: store, teams: map[string]bool{}}
+	for _, t := range teams {
+		d.teams[t] = true
+	}
+	return d
+}
+
+func refuse(status, after int, format string, args ...any) httpx.Response {
+	return httpx.Response{Status: status, RetryAfter: after, Body: wire.Error(fmt.Sprintf(format, args...))}
+}
+
+var unavailable = refuse(503, 1, "the state service can't be asked, come back")
+
+// Find reads a resource's record from the replica; nil if there is none.
+func (d *Door) Find(name string) (*Record, error) {
+	it, ok := d.store.Peek(Key(name))
+	if !ok {
+		if !ValidName(name) {
+			return nil, BadName(name)
+		}
+		return nil, nil
+	}
+	rec, err := Decode(name, it.Value)
+	if err != nil {
+		return nil, fmt.Errorf("resource %s: %w", name, ErrUnreadable)
+	}
+	return rec, nil
+}
+
+// Check says why a job could never have its units.
+func (d *Door) Check(s *model.Spec) error { return CanEver(s, d.Find) }
+
+// Serve answers a request; it returns false for paths of others.
+func (d *Door) Serve(r *httpx.Request, reply func(httpx.Response)) bool {
+	if r.Path != wire.PathUnits && !strings.HasPrefix(r.Path, wire.PathUnits+"/") {
+		return false
+	}
+	if !d.store.Synced() {
+		reply(unavailable)
+		return true
+	}
+	name, verb, _ := strings.Cut(strings.TrimPrefix(strings.TrimPrefix(r.Path, wire.PathUnits), "/"), "/")
+	switch {
+	case name == "" && r.Method == "GET":
+		d.list(reply)
+	case !ValidName(name):
+		reply(refuse(400, 0, "%v", BadName(name)))
+	case verb == "" && r.Method == "GET":
+		d.read(name, reply, func(rec *Record, _ uint64) {
+			if rec == nil {
+				reply(refuse(404, 0, "no resource %s is known", name))
+				return
+			}
+			reply(httpx.Response{Status: 200, Body: wire.Encode(d.view(name, rec, true))})
+		})
+	case verb == "" && r.Method == "POST":
+		u, err := wire.DecodeUnits(r.Body)
+		if err != nil {
+			reply(refuse(400, 0, "%v", err))
+			return true
+		}
+		d.change(name, func(rec *Record) error { return d.set(rec, u) }, 4, reply)
+	case verb == wire.VerbRemove && r.Method == "POST":
+		asked, err := wire.DecodeAsked(r.Body)
+		if err != nil {
+			reply(refuse(400, 0, "%v", err))
+			return true
+		}
+		d.change(name, func(rec *Record) error {
+			if rec.V == 0 {
+				return fmt.Errorf("no resource %s is known", name)
+			}
+			rec.Gone, rec.By = true, asked.By
+			return nil
+		}, 4, reply)
+	default:
+		reply(refuse(405, 0, "GET, or POST to set"))
+	}
+	return true
+}
+
+func (d *Door) read(name string, reply func(httpx.Response), then func(rec *Record, stamp uint64)) {
+	d.store.Read(Key(name), func(it *statestore.Item, ok bool) {
+		switch {
+		case !ok:
+			reply(unavailable)
+		case it == nil:
+			then(nil, 0)
+		default:
+			rec, err := Decode(name, it.Value)
+			if err != nil {
+				reply(refuse(503, 5, "the record of resource %s can't be read", name))
+				return
+			}
+			then(rec, it.Stamp)
+		}
+	})
+}
+
+var priorities = map[string]model.Priority{"low": model.Low, "normal": model.Normal, "high": model.High, "production": model.Production}
+
+// set changes what the operator names, and leaves the rest.
+func (d *Door) set(rec *Record, u *wire.Units) error {
+	if u.Count == nil && rec.V == 0 {
+		return fmt.Errorf("field count is missing: the resource is new")
+	}
+	if u.Count != nil {
+		rec.Count, rec.Gone = *u.Count, false
+	}
+	if u.External != nil {
+		rec.External = *u.External
+	}
+	if u.Teams != nil {
+		rec.Teams = map[string]Part{}
+		for t, p := range u.Teams {
+			if !d.teams[t] {
+				return fmt.Errorf("field teams: unknown team %q", t)
+			}
+			rec.Teams[t] = Part(p)
+		}
+	}
+	if u.Reserve != nil {
+		rec.Reserve = [4]int{}
+		for name, n := range u.Reserve {
+			p, ok := priorities[name]
+			if !ok {
+				return fmt.Errorf("field reserve: %q is none of low, normal, high, production", name)
+			}
+			rec.Reserve[p] = n
+		}
+	}
+	rec.Shed, rec.By = u.Shed, u.By
+	return rec.Check()
+}
+
+// change writes a record anew, conditional on the one it was made from.
+func (d *Door) change(name string, f func(rec *Record) error, tries int, reply func(httpx.Response)) {
+	d.read(name, reply, func(rec *Record, stamp uint64) {
+		if rec == nil {
+			rec = &Record{}
+			n := 0
+			d.store.Each(Prefix, func(string, statestore.Item) { n++ })
+			if n >= MaxNamed {
+				reply(refuse(422, 0, "%d resources are known, which is the most", n))
+				return
+			}
+		}
+		c := *rec
+		if err := f(&c); err != nil {
+			status := 400
+			if rec.V == 0 && strings.HasPrefix(err.Error(), "no resource") {
+				status = 404
+			}
+			reply(refuse(status, 0, "%v", err))
+			return
+		}
+		c.AtMS, c.Change = d.env.Wall().UnixMilli(), fmt.Sprintf("%x", d.env.Rand().Uint64())
+		t := wire.Txn{When: []wire.Cond{{Path: Key(name), Stamp: stamp}}, Apply: []wire.Change{{Write: Key(name), Value: c.Encode()}}}
+		if len(t.Apply[0].Value) > d.store.Config().ValueBytes {
+			reply(refuse(400, 0, "too much for one resource: leave teams out"))
+			return
+		}
+		d.store.Commit(t, false, func(r statestore.Result, _ uint64, _ []string) {
+			switch {
+			case r == statestore.OK:
+				d.env.Log().Info("resource set", "name", name, "count", c.Count, "removed", c.Gone, "by", c.By)
+				reply(httpx.Response{Status: 200, Body: wire.Encode(d.view(name, &c, false))})
+			case (r == statestore.Conflict || r == statestore.Maybe) && tries > 0:
+				// Look again: an earlier copy may be there, or the leader's number.
+				d.change(name, f, tries-1, reply)
+			default:
+				reply(unavailable)
+			}
+		})
+	})
+}
+
+func (d *Door) view(name string, rec *Record, holders bool) wire.UnitsView {
+	v := wire.UnitsView{Name: name, Count: rec.Count, Removed: rec.Gone, External: rec.External, By: rec.By, AtMS: rec.AtMS}
+	for t, p := range rec.Teams {
+		if v.Teams == nil {
+			v.Teams = map[string]wire.Part{}
+		}
+		v.Teams[t] = wire.Part(p)
+	}
+	for p, n := range rec.Reserve {
+		if n > 0 {
+			if v.Reserve == nil {
+				v.Reserve = map[string]int{}
+			}
+			v.Reserve[model.Priority(p).String()] = n
+		}
+	}
+	if d.Live != nil {
+		v.Live = d.Live(name, holders)
+	}
+	return v
+}
+
+// mostListed bounds how many resources one answer lists.
+const mostListed = 150
+
+func (d *Door) list(reply func(httpx.Response)) {
+	var out struct {
+		Units []wire.UnitsView `json:"units"`
+		More  int              `json:"more,omitempty"`
+	}
+	out.Units = []wire.UnitsView{}
+	d.store.Each(Prefix, func(k string, it statestore.Item) {
+		name := strings.TrimPrefix(k, Prefix)
+		if len(out.Units) >= mostListed {
+			out.More++
+			return
+		}
+		rec, err := Decode(name, it.Value)
+		if err != nil {
+			out.Units = append(out.Units, wire.UnitsView{Name: name, Trouble: "its record can't be read"})
+			return
+		}
+		v := d.view(name, rec, false)
+		v.Teams, v.Reserve = nil, nil
+		out.Units = append(out.Units, v)
+	})
+	reply(httpx.Response{Status: 200, Body: wire.Encode(out)})
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -78,6 +78,7 @@
 	SnapshotS *float64  `json:"snapshot_s"`
 	StowS     *float64  `json:"stow_s"`
 	DueS      *float64  `json:"due_s"`
+	Units     []unitAsk `json:"units"`
 }
 
 var kinds = map[string]model.Kind{"sweep": model.Array, "ensemble": model.Gang, "standing": model.Service}
@@ -172,6 +173,9 @@
 	if err == nil && j.DueS != nil {
 		amount("due_s", j.DueS, &s.DeadlineS)
 	}
+	if err == nil {
+		s.Units, err = decodeAsks(j.Units)
+	}
 	if err != nil {
 		return nil, err
 	}
