--- a/cmd/brooklb/user_test.go
+++ b/cmd/brooklb/user_test.go
@@ -26,6 +26,12 @@
 			answer(200, `{"ref":"j-000412","phase":"running","done":3,"running":13,"why":"task 2 attempt 1 on vm-000007: machine lost"}`)
 		case "POST /v2/runs/j-000412/withdraw":
 			answer(200, `{"ref":"j-000412","phase":"withdrawn"}`)
+		case "GET /units":
+			answer(200, `{"units":[{"name":"seat","count":5,"live":{"used":3,"free":2,"jobs":4,"waiting":1,"wait_p50_s":1.5}},{"name":"old","count":1,"removed":true}]}`)
+		case "GET /units/seat":
+			answer(200, `{"name":"seat","count":5,"teams":{"red":{"share":1,"most":2}},"reserve":{"high":1},"live":{"used":3,"holders":[{"units":3,"job":"j-1","task":-1,"for_s":9,"until":"the last is gone"}]}}`)
+		case "POST /units/seat", "POST /units/seat/remove":
+			answer(200, `{"name":"seat","count":7}`)
 		case "GET /services/shop":
 			answer(200, `{"service":"shop","version":"j-1","rollout":{"id":"shop/3","from":"j-1","to":"j-2","at_ms":5,"state":"baking","paused":true,"step":2,"steps":3,"new":4,"old":5,"all":9,
 				"why":"watched for another 5 s","evidence":["j-2/0 on vm-1 failed"],"live":{"new_healthy":3,"new_sick":1,"old_healthy":5,"check_p50_ms":2,"check_every_s":5}}}`)
@@ -93,6 +99,17 @@
 		{args: []string{"rollout", "undo"}, status: 2},
 		{args: []string{"rollout"}, status: 2},
 		{args: []string{"dev", "--controllers=0"}, status: 2},
+		{args: []string{"units", "list", to}, want: "1.5 s"},
+		{args: []string{"units", "show", to, "seat"}, want: "j-1 (the whole job)"},
+		{args: []string{"units", "show", to, "Seat"}, status: 2},
+		{args: []string{"units", "show", to, "none"}, status: exitUnknown},
+		{args: []string{"units", "set", to, "seat", "7", "--team=red:1:2", "--reserve=high:1", "--stop", "--external=1"}, want: "seat"},
+		{args: []string{"units", "set", to, "seat", "-7"}, status: 2},
+		{args: []string{"units", "set", to, "seat", "x"}, status: 2},
+		{args: []string{"units", "set", to, "seat", "--team=red"}, status: 2},
+		{args: []string{"units", "set", to, "seat", "--reserve=high"}, status: 2},
+		{args: []string{"units", "remove", to, "seat"}, want: "seat"},
+		{args: []string{"units"}, status: 2},
 		{args: []string{"dev", "--for=never"}, status: 2},
 		{args: []string{"dev", "--faults=/no/such/file", "--for=1s"}, status: 1},
 	} {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -54,6 +54,15 @@
 	if !a.OthersReachState(time.Second) || a.OthersReachState(300*time.Millisecond) {
 		t.Error("a contact 0.4 s ago")
 	}
+	// A peer whose program says nothing of formats, or of too old ones, holds back what
+	// it could not read.
+	if a.AllRead(3) {
+		t.Error("a peer that doesn't say is taken to read format 3")
+	}
+	tell(Status{V: 1, Label: "n1", State: 400, Reads: 3})
+	if !a.AllRead(3) || a.AllRead(4) {
+		t.Error("a peer reads format 3")
+	}
 	e.now += 4 * time.Second
 	if a.OthersReachState(time.Hour) {
 		t.Error("what was said 4 s ago is still believed")
--- a/internal/sim/units_test.go
+++ b/internal/sim/units_test.go
@@ -181,6 +181,9 @@
 	}
 	w.Run(40 * time.Second)
 	expect(6, "at first")
+	if b := w.books("seat"); b.Live == nil || len(b.Live.Holders) != 6 || b.Live.Holders[0].Job != "j-1" || b.Live.Holders[0].Machine == "" || !strings.Contains(b.Live.Holders[0].Until, "end is reported") {
+		t.Errorf("the book has %+v", b.Live)
+	}
 	set(map[string]any{"count": 3})
 	w.Crash(w.Leader(), time.Second)
 	w.Run(60 * time.Second)
@@ -340,3 +343,51 @@
 	}
 	w.noneBroken(t)
 }
+
+// TestUnitsCrash crashes the leader around every write of starts, before the state
+// service has it and between it and the starts, and has users cancel at that instant:
+// the next leader knows who holds what.
+func TestUnitsCrash(t *testing.T) {
+	for _, late := range []time.Duration{0, 4 * time.Millisecond, 12 * time.Millisecond} {
+		w := worldOf(Config{Seed: 102, Nodes: 3, Declared: []units.Declared{{Name: "seat", Count: 4}}})
+		w.units["seat"] = []unitsSet{{0, 4}}
+		w.checkCancelled()
+		for i := range 40 {
+			w.At(time.Duration(4000+700*i)*time.Millisecond, func() {
+				w.Submit(Job{ID: fmt.Sprintf("j-%03d", i), Shape: []string{"sweep", "ensemble"}[i%2], Team: "free", Image: "i", ImageGB: 0.1, Tasks: 1 + i%3, CPUs: 1, RunS: 6,
+					Units: map[string]int{"seat": 1}})
+			})
+		}
+		writes, crashes := 0, 0
+		w.OnSend = func(from string, c actor.Call) {
+			if c.Path != "/commit" || !strings.Contains(string(c.Body), `"write":"b/t/`) || !strings.Contains(string(c.Body), "@vm-") {
+				return
+			}
+			if writes++; writes%4 != 0 || crashes >= 8 {
+				return
+			}
+			crashes++
+			body := string(c.Body)
+			w.after(late, func() {
+				for i := range w.nodes {
+					if w.nodes[i].host == from {
+						w.Crash(i, 2*time.Second)
+					}
+				}
+				for id, j := range w.jobs {
+					if j.accepted && strings.Contains(body, "b/t/"+id+"/") && crashes%2 == 0 {
+						w.cancel(j)
+					}
+				}
+			})
+		}
+		w.Run(400 * time.Second)
+		w.verdict(t, 10)
+		if crashes < 5 {
+			t.Errorf("only %d crashes", crashes)
+		}
+		if b := w.books("seat"); b.Live == nil || b.Live.Used != 0 || b.Live.Free != 4 {
+			t.Errorf("in the end the book has %+v", b.Live)
+		}
+	}
+}
