--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -22,6 +22,7 @@
 
 // Config of the slice.
 type Config struct {
+	Charter  uint64 // names rental requests, together with a count; it never recurs
 	Cloud    string
 	RPS      float64
 	ListLag  time.Duration
--- a/internal/fleet/rent.go
+++ b/internal/fleet/rent.go
@@ -296,7 +296,7 @@
 
 func (a *Actor) rent(p pool, n int) {
 	a.charters++
-	charter := "r-" + strconv.FormatUint(a.token, 10) + "-" + strconv.Itoa(a.charters)
+	charter := "r-" + strconv.FormatUint(a.cfg.Charter, 10) + "-" + strconv.Itoa(a.charters)
 	a.renting[p] += n
 	a.ask(p, n, charter, 4)
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -123,6 +123,13 @@
 }
 
 func (a *Actor) try() {
+	if _, ok := a.store.Peek(RestoreKey); ok {
+		return // half of the state is there
+	}
+	if _, ok := ReadBase(a.store); !ok {
+		a.env.Log().Error("the base of a restored cluster can't be read, nobody leads", "key", BaseKey)
+		return
+	}
 	if a.trying || a.token != 0 || a.known.Node != "" || !a.store.Synced() || a.env.Now() < a.abstain {
 		return
 	}
@@ -146,7 +153,7 @@
 }
 
 func (a *Actor) claim(permit uint64, asked time.Duration, value []byte, tries int) {
-	t := wire.Txn{When: []wire.Cond{{Path: Key}}, Apply: []wire.Change{{Write: Key, Value: value, Permit: permit}}}
+	t := wire.Txn{When: []wire.Cond{{Path: Key}, {Path: RestoreKey}}, Apply: []wire.Change{{Write: Key, Value: value, Permit: permit}}}
 	a.store.Commit(t, true, func(r statestore.Result, epoch uint64, _ []string) {
 		switch {
 		case r == statestore.OK:
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -237,6 +237,8 @@
 	OnDeposed func()
 	Warm      func(m *Machine) // fills in what is remembered of a machine's images
 	MaxOps    int
+	// Attempts is what a restored cluster adds to recorded attempts below it.
+	Attempts uint64
 	// Changes is what was written in this term.
 	Changes Changes
 }
--- a/internal/ledger/load.go
+++ b/internal/ledger/load.go
@@ -126,6 +126,9 @@
 		}
 		task := &j.Tasks[t]
 		task.Attempt = s.attempt
+		if s.attempt < l.Attempts {
+			task.Attempt += l.Attempts
+		}
 		if s.done || s.attempt > 0 {
 			j.Begun++
 		}
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -233,6 +233,7 @@
 // TaskPlace is where a recorded task is.
 type TaskPlace struct {
 	Done    bool
+	Attempt uint64
 	Machine string
 }
 
@@ -241,7 +242,7 @@
 	st, _, err := decodeChunk(key, b)
 	out := make([]TaskPlace, len(st))
 	for i, s := range st {
-		out[i] = TaskPlace{s.done, s.machine}
+		out[i] = TaskPlace{s.done, s.attempt, s.machine}
 	}
 	return out, err
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,8 +53,11 @@
 
 // term is everything that exists only while this node leads.
 type term struct {
-	n         *Node
+	n *Node
+	// token is what workers, the cloud and peers know; the leader key's revision, to
+	// which a restored cluster's base is added.
 	token     uint64
+	base      leader.Base
 	led       *ledger.Ledger
 	workers   *workers.Actor
 	fleet     *fleet.Actor
@@ -70,7 +73,8 @@
 	lastMoves time.Duration
 	lastLook  time.Duration // for a reason to consolidate
 	// What of a takeover has been reported: first starts, workers back.
-	started, back bool
+	started, back  bool
+	told, settling bool
 	// When something to stop was last looked for, for jobs that wait: on
 	// machines with their image, and anywhere.
 	cleared, preempted map[*ledger.Job]time.Duration
@@ -182,7 +186,7 @@
 // the new leader would hear nobody and give way (tbilisi grown, apart).
 func (n *Node) newer(token uint64) {
 	if t := n.term; t != nil && token > t.token {
-		n.elect.Deposed(t.token)
+		n.elect.Deposed(t.token - t.base.Token)
 	}
 }
 
@@ -244,7 +248,7 @@
 		}
 	}
 	why = j.Why
-	if running == 0 && j.Waits != "" {
+	if j.Waits != "" && (running == 0 || j.Asks() && placement.Waiting(j)) {
 		why = j.Waits
 	}
 	if fault := j.Fault(); fault != "" {
@@ -335,9 +339,11 @@
 
 func (n *Node) lead(token uint64) {
 	f := &n.set.Facts
-	t := &term{n: n, token: token, cleared: map[*ledger.Job]time.Duration{}, preempted: map[*ledger.Job]time.Duration{}, holds: map[*ledger.Machine]*placement.Hold{}, lastMoves: -consolidateEvery, aims: placement.NewAims(f.Objectives)}
+	base, _ := leader.ReadBase(n.store) // else we would not have been elected
+	t := &term{n: n, token: token + base.Token, base: base, cleared: map[*ledger.Job]time.Duration{}, preempted: map[*ledger.Job]time.Duration{}, holds: map[*ledger.Machine]*placement.Hold{}, lastMoves: -consolidateEvery, aims: placement.NewAims(f.Objectives)}
 	t.led = ledger.New(n.env, n.store, token, f.Teams)
-	t.fleet = fleet.New(n.env, t.led, n.store, token, fleet.Config{Cloud: n.set.External.Cloud, RPS: f.Cloud.RPS,
+	t.led.Attempts = base.Attempts
+	t.fleet = fleet.New(n.env, t.led, n.store, token, fleet.Config{Charter: t.token, Cloud: n.set.External.Cloud, RPS: f.Cloud.RPS,
 		ListLag: seconds(f.Cloud.ListLagS), Report: seconds(f.Workers.ReportS), IdleKeep: 15 * time.Second, Patience: 45 * time.Second, Headroom: 0.5})
 	warm := n.warm.Snapshot()
 	t.led.Warm = func(m *ledger.Machine) {
@@ -353,9 +359,10 @@
 	t.rollouts = rollout.New(n.env, t.led, n.store, token, rollout.Config{Share: f.Limits.CPUShare, Report: seconds(f.Workers.ReportS)})
 	t.rollouts.OnDeposed = func() { n.elect.Deposed(token) }
 	t.units.OnDeposed, t.units.OnChange = t.rollouts.OnDeposed, t.wake
-	t.workers = workers.New(n.env, t.led, token, workers.Config{Lease: seconds(f.Workers.LeaseS), Hold: n.hold, Report: seconds(f.Workers.ReportS)})
+	t.workers = workers.New(n.env, t.led, t.token, workers.Config{Lease: seconds(f.Workers.LeaseS), Hold: n.hold, Report: seconds(f.Workers.ReportS)})
 	t.rollouts.Load()
 	t.workers.OnEnded = t.rollouts.Ended
+	t.workers.Quiet = func() bool { return !t.base.Settled }
 	t.workers.OnNewer = func() { n.elect.Deposed(token) }
 	t.workers.OnStuck = func() { n.elect.Resign("a start that was called off may still arrive, a new token makes it void") }
 	t.workers.OnTrust = func(*ledger.Machine) { t.wake() }
@@ -371,7 +378,7 @@
 	}
 	t.fleet.OnChange = t.wake
 	n.term = t
-	n.env.Log().Info("leading", "token", token, "jobs", len(t.led.Jobs))
+	n.env.Log().Info("leading", "token", t.token, "jobs", len(t.led.Jobs))
 	t.tick()
 }
 
@@ -523,6 +530,9 @@
 	if !t.n.elect.Sure() {
 		return // without the state service nothing is started
 	}
+	if !t.settled() {
+		return
+	}
 	claims := placement.NewClaims(t.led, t.aims, now)
 	for _, j := range t.led.Order() {
 		t.fleet.Arrived(j, t.aims.Prompt(j), claims[j] == placement.Promised)
--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -262,3 +262,13 @@
 	return wire.RolloutView{ID: fmt.Sprintf("%s/%d", name, p.N), From: p.From, To: p.To, By: p.By, AtMS: p.At, EndMS: p.EndAt, State: string(p.State),
 		Step: p.Step, Steps: p.Steps, All: p.All, Why: p.Why, Evidence: p.Proofs}
 }
+
+// Jobs are the versions that the record names.
+func (r *Record) Jobs() (out []string) {
+	for _, v := range []*version{r.Cur, r.New} {
+		if v != nil {
+			out = append(out, v.Job)
+		}
+	}
+	return out
+}
--- a/internal/sim/state.go
+++ b/internal/sim/state.go
@@ -352,3 +352,24 @@
 		reply(400, []byte(`{"error":"no such path"}`))
 	}
 }
+
+// Wipe loses everything, as if the service began anew: its revisions count from 1.
+func (s *State) Wipe() {
+	s.keys, s.grants, s.history, s.epoch, s.oldest = map[string]*stateKey{}, map[uint64]*stateGrant{}, nil, 0, 0
+	for _, x := range s.watches {
+		x.done = true
+	}
+	s.watches = nil
+}
+
+// Ask waits for an answer, for what works beside the controllers.
+func (s *State) Ask(method, path string, body []byte) (status int, answer []byte, err error) {
+	limited := s.Limited
+	s.bucket, s.writes = s.w.cfg.RPS, s.w.cfg.WriteRPS // it keeps to a rate of its own
+	s.serve("operator", method, path, body, func(st int, b []byte) { status, answer = st, b })
+	s.Limited = limited
+	for end := s.w.now + 10*time.Second; status == 0 && s.w.now < end; {
+		s.w.Run(s.w.now + time.Millisecond)
+	}
+	return status, answer, nil
+}
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -35,6 +35,8 @@
 	OnNewer func()                  // a worker has seen a higher token
 	OnTrust func(m *ledger.Machine) // a machine reports for the first time
 	OnStuck func()                  // only a higher token can settle a start
+	// Quiet reports whether nothing may be started yet, not even what is recorded.
+	Quiet func() bool
 	// OnEnded hears of a service's task that ended by itself.
 	OnEnded func(p *ledger.Placement, cause string)
 }
@@ -419,6 +421,7 @@
 				p.StopSent = now
 				out = append(out, model.Order{Op: model.Stop, Job: id, Task: p.Task, Attempt: p.Attempt, GraceS: p.GraceS})
 			}
+		case a.Quiet != nil && a.Quiet():
 		case p.Again:
 			// Only in an answer, which is executed at once or never: a copy that
 			// came late would make the worker forget what it has done since.
