Histories of users' operations, checked for linearizability

Change: the simulator records submissions, polls and cancellations with their answers, and the completion of jobs; porcupine checks each job's history.

--- a/internal/sim/gang.go
+++ b/internal/sim/gang.go
@@ -66,8 +66,12 @@
 		}
 	}
 	g.stopped = true
+	w := g.members()[0].m.w
 	for _, x := range g.members() {
 		g.job.results[x.task] = true
+	}
+	w.completed(g.job)
+	for _, x := range g.members() {
 		x.exit("done", false)
 	}
 }
--- /dev/null
+++ b/internal/sim/history_test.go
@@ -0,0 +1,130 @@
+package sim
+
+import (
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"brooklb/internal/actor"
+
+	"github.com/anishathalye/porcupine"
+)
+
+// jobModel is what a job may be to its users: each operation takes effect at one
+// moment between its call and its answer, and one without an answer at any later
+// moment, or never.
+var jobModel = porcupine.Model{
+	Partition: func(h []porcupine.Operation) [][]porcupine.Operation {
+		by := map[string][]porcupine.Operation{}
+		var ids []string
+		for _, o := range h {
+			id := o.Input.(Op).Job
+			if by[id] == nil {
+				ids = append(ids, id)
+			}
+			by[id] = append(by[id], o)
+		}
+		out := make([][]porcupine.Operation, 0, len(ids))
+		for _, id := range ids {
+			out = append(out, by[id])
+		}
+		return out
+	},
+	Init: func() any { return "none" },
+	Step: func(state, input, output any) (bool, any) {
+		is, op, told := state.(string), input.(Op), output.(string)
+		next := is
+		switch op.Kind {
+		case OpSubmit:
+			if is == "none" {
+				next = "open"
+			}
+		case OpCancel:
+			if is == "open" {
+				next = "withdrawn"
+			}
+		case OpComplete:
+			if is == "open" {
+				next = "done"
+			}
+			return true, next
+		}
+		return told == "" || told == next, next
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+// TestHistories proves of troubled days that what users were told of each job is
+// linearizable: submissions, their repetitions, polls and cancellations, at all nodes.
+func TestHistories(t *testing.T) {
+	ops, unknown := 0, 0
+	for _, seed := range seeds(t, 12) {
+		w := worldOf(Config{Seed: 5000 + seed, Nodes: 3})
+		w.Record = true
+		w.Garbage, w.State.Slow = 200, 20
+		w.Workload(25, 120*time.Second)
+		w.OnSend = func(from string, c actor.Call) {
+			// Users cancel while the end of their job is on its way to the state service.
+			if c.Path != "/commit" || !strings.HasPrefix(from, "n") || !strings.Contains(string(c.Body), `"f":"done"`) {
+				return
+			}
+			for id, j := range w.jobs {
+				if j.accepted && !j.cancelAsked && strings.Contains(string(c.Body), `"write":"b/j/`+id+`"`) {
+					w.cancel(j)
+				}
+			}
+		}
+		for at := 10 * time.Second; at < 200*time.Second; at += w.secs(5, 25) {
+			w.At(at, func() {
+				i := w.rng.IntN(len(w.nodes))
+				switch w.rng.IntN(8) {
+				case 0:
+					w.Crash(i, w.secs(0.5, 6))
+				case 1:
+					for i := range w.nodes {
+						w.Crash(i, w.secs(0.5, 6))
+					}
+				case 2:
+					w.State.Outage(w.secs(1, 15))
+				case 3:
+					w.State.RefuseNode(w.NodeName(i), w.secs(2, 20))
+				case 4:
+					w.Cut(w.NodeName(i), "state", w.secs(2, 25), w.rng.IntN(2) == 0)
+				case 5:
+					w.Cut(w.NodeName(i), "users", w.secs(2, 15), true)
+				case 6:
+					w.Freeze(i, w.secs(2, 9))
+				case 7:
+					w.State.GetSlow(w.secs(3, 15))
+				}
+			})
+		}
+		w.Run(330 * time.Second)
+		w.noneBroken(t)
+		h := make([]porcupine.Operation, 0, len(w.Ops))
+		open := map[[2]any]bool{}
+		for i, op := range w.Ops {
+			ret := int64(op.Ret)
+			if op.Ret == never {
+				ret = math.MaxInt64
+				unknown++
+				// What one of them may do later, another of its kind can't do again.
+				if k := [2]any{op.Job, op.Kind}; open[k] {
+					continue
+				} else {
+					open[k] = true
+				}
+			}
+			h = append(h, porcupine.Operation{ClientId: i, Input: op, Output: op.Told, Call: int64(op.Call), Return: ret})
+		}
+		ops += len(h)
+		if r := porcupine.CheckOperationsTimeout(jobModel, h, 20*time.Second); r != porcupine.Ok {
+			t.Errorf("seed %d: the history of %d operations: %v", seed, len(h), r)
+		}
+	}
+	if ops < 2000 {
+		t.Errorf("only %d operations", ops)
+	}
+	t.Logf("%d operations, %d of them without an answer", ops, unknown)
+}
--- a/internal/sim/machine.go
+++ b/internal/sim/machine.go
@@ -368,6 +368,7 @@
 	}
 	r.in(r.m.slowed(r.job.left(r.task)), func() {
 		r.job.results[r.task] = true
+		r.m.w.completed(r.job)
 		r.exit("done", false)
 	})
 }
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -91,6 +91,7 @@
 func (w *World) submit(j *userJob, body []byte, n int) {
 	asked := w.now
 	w.ask("POST", "/v2/runs", body, 5*time.Second, func(a actor.Answer) {
+		w.record(j, OpSubmit, asked, a)
 		switch {
 		case a.Err == nil && (a.Status == 201 || a.Status == 200):
 			if !j.accepted {
@@ -154,6 +155,7 @@
 	w.Polls++
 	asked := w.now
 	w.ask("GET", "/v2/runs/"+j.id, nil, 2*time.Second, func(a actor.Answer) {
+		w.record(j, OpPoll, asked, a)
 		switch {
 		case a.Err == nil && a.Status == 200:
 			j.lastGood = w.now
@@ -179,6 +181,7 @@
 	j.cancelAsked = true
 	asked := w.now
 	w.ask("POST", "/v2/runs/"+j.id+"/withdraw", nil, 5*time.Second, func(a actor.Answer) {
+		w.record(j, OpCancel, asked, a)
 		if a.Err == nil && a.Status == 200 {
 			w.answer(j, a.Body, asked)
 			return
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -83,6 +83,9 @@
 	// Delay holds a single request up on its way, Lag a single answer.
 	Delay, Lag func(from string, c actor.Call) time.Duration
 	outside    Outside
+	// Ops is the history of what users asked and were told, if Record is set.
+	Record bool
+	Ops    []Op
 	// Taken is what the probe of a resource answers, less than 0: nothing.
 	Taken int
 }
