One piece of code where the roll-outs, units and state commands had twins

Need: on reading the change again, refusals were written in three slices, the seconds a task is given to save in three places, the search for the leader's answer and the flags of checks twice; some fields and methods had no reader.

Change: package answer, Placement.Grace, asker.leaders, one type for checks' flags; filepath.Dir instead of our own; flag errors are inherited from the root command; dead fields (checker, roll-out actor, simulator) removed. No change of behaviour meant.

--- a/cmd/brooklb/main.go
+++ b/cmd/brooklb/main.go
@@ -90,8 +90,5 @@
 	c.AddCommand(&cobra.Command{Use: "version", Short: "print the version", Run: func(*cobra.Command, []string) { fmt.Println("brooklb", version) }})
 	c.AddCommand(userCommands()...)
 	c.AddCommand(rolloutCommand(), unitsCommand(), stateCommand(), devCommand())
-	for _, x := range c.Commands() {
-		x.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	}
 	return c
 }
--- a/cmd/brooklb/rollout.go
+++ b/cmd/brooklb/rollout.go
@@ -36,9 +36,6 @@
 	} {
 		c.AddCommand(rolloutAsk(verb.name, verb.short))
 	}
-	for _, x := range c.Commands() {
-		x.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	}
 	return c
 }
 
@@ -163,7 +160,10 @@
 
 // look asks all nodes for a service: the leader knows most.
 func (a *asker) look(name string) ([]byte, *wire.ServiceView, error) {
-	b, err := a.ask("GET", path(name, ""), nil)
+	b, err := a.leaders(path(name, ""), func(b []byte) bool {
+		var v wire.ServiceView
+		return json.Unmarshal(b, &v) == nil && (v.Rollout == nil || v.Rollout.Live != nil)
+	})
 	if err != nil {
 		return nil, nil, err
 	}
@@ -171,21 +171,6 @@
 	if err := json.Unmarshal(b, &v); err != nil {
 		return nil, nil, fmt.Errorf("the answer makes no sense: %w", err)
 	}
-	if v.Rollout == nil || v.Rollout.Live != nil {
-		return b, &v, nil
-	}
-	for range 4 { // one address may stand for several nodes
-		found := false
-		a.client().Each(path(name, ""), func(_ string, status int, x []byte, err error) {
-			var o wire.ServiceView
-			if !found && err == nil && status == 200 && json.Unmarshal(x, &o) == nil && o.Rollout != nil && o.Rollout.Live != nil {
-				found, b, v = true, append([]byte(nil), x...), o
-			}
-		})
-		if found {
-			break
-		}
-	}
 	return b, &v, nil
 }
 
--- a/cmd/brooklb/state.go
+++ b/cmd/brooklb/state.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
 	"text/tabwriter"
 	"time"
 
@@ -71,9 +72,6 @@
 			return usageError{errors.New("state: export, inspect, verify, check, diff or restore")}
 		}}
 	c.AddCommand(stateExport(), stateInspect(), stateVerify(), stateCheck(), stateDiff(), stateRestore())
-	for _, x := range c.Commands() {
-		x.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	}
 	return c
 }
 
@@ -99,7 +97,7 @@
 				return err
 			}
 			// Never half a file under the name that was asked for.
-			f, err := os.CreateTemp(dirOf(args[0]), ".brooklb-state-")
+			f, err := os.CreateTemp(filepath.Dir(args[0]), ".brooklb-state-")
 			if err != nil {
 				return err
 			}
@@ -121,15 +119,6 @@
 		}})
 }
 
-func dirOf(file string) string {
-	for i := len(file) - 1; i >= 0; i-- {
-		if file[i] == '/' {
-			return file[:i+1]
-		}
-	}
-	return "."
-}
-
 func stateInspect() *cobra.Command {
 	var asJSON bool
 	var key string
@@ -179,18 +168,30 @@
 	return w.Flush()
 }
 
+// checking is how a state is to be checked.
+type checking struct {
+	config string
+	asJSON bool
+}
+
+func (k *checking) flags(c *cobra.Command) *cobra.Command {
+	c.Flags().StringVar(&k.config, "config", "", "settings file, for the teams' limits")
+	c.Flags().BoolVar(&k.asJSON, "json", false, "print JSON")
+	return c
+}
+
 // findings prints what a check found.
-func findings(out io.Writer, s *snapshot.Snapshot, config string, asJSON bool) error {
+func (k *checking) findings(out io.Writer, s *snapshot.Snapshot) error {
 	var teams []settings.Team
-	if config != "" {
-		set, err := settings.Load(config)
+	if k.config != "" {
+		set, err := settings.Load(k.config)
 		if err != nil {
 			return err
 		}
 		teams = set.Facts.Teams
 	}
 	fs, n := snapshot.Verify(s, teams)
-	if asJSON {
+	if k.asJSON {
 		b, err := json.Marshal(struct {
 			Findings []snapshot.Finding `json:"findings"`
 			Counts   snapshot.Counts    `json:"counts"`
@@ -221,15 +222,14 @@
 	if sure > 0 {
 		return exitError{exitFindings, fmt.Errorf("%d findings in %d keys", sure, n.Keys)}
 	}
-	if !asJSON {
+	if !k.asJSON {
 		fmt.Fprintf(out, "nothing wrong in %d keys\n", n.Keys)
 	}
 	return nil
 }
 
 func stateVerify() *cobra.Command {
-	var config string
-	var asJSON bool
+	var k checking
 	c := &cobra.Command{Use: "verify FILE", Short: "check a file against what always holds",
 		Args: files(1, "state verify takes one file"),
 		RunE: func(c *cobra.Command, args []string) error {
@@ -237,17 +237,14 @@
 			if err != nil {
 				return err
 			}
-			return findings(c.OutOrStdout(), s, config, asJSON)
+			return k.findings(c.OutOrStdout(), s)
 		}}
-	c.Flags().StringVar(&config, "config", "", "settings file, for the teams' limits")
-	c.Flags().BoolVar(&asJSON, "json", false, "print JSON")
-	return c
+	return k.flags(c)
 }
 
 func stateCheck() *cobra.Command {
 	var a stateAsker
-	var config string
-	var asJSON bool
+	var k checking
 	c := a.flags(&cobra.Command{Use: "check", Short: "check the state of a live cluster; changes nothing",
 		Args: files(0, "state check takes no arguments"),
 		RunE: func(c *cobra.Command, _ []string) error {
@@ -258,11 +255,9 @@
 			if err != nil {
 				return err
 			}
-			return findings(c.OutOrStdout(), s, config, asJSON)
+			return k.findings(c.OutOrStdout(), s)
 		}})
-	c.Flags().StringVar(&config, "config", "", "settings file, for the teams' limits")
-	c.Flags().BoolVar(&asJSON, "json", false, "print JSON")
-	return c
+	return k.flags(c)
 }
 
 func stateDiff() *cobra.Command {
--- a/cmd/brooklb/units.go
+++ b/cmd/brooklb/units.go
@@ -22,9 +22,6 @@
 			return usageError{errors.New("units: list, show, set or remove")}
 		}}
 	c.AddCommand(unitsList(), unitsShow(), unitsSet(), unitsRemove())
-	for _, x := range c.Commands() {
-		x.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	}
 	return c
 }
 
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -6,11 +6,11 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"net/http"
 	"strings"
 	"time"
 
 	"brooklb/internal/actor"
+	"brooklb/internal/answer"
 	"brooklb/internal/fleet"
 	"brooklb/internal/httpx"
 	"brooklb/internal/ledger"
@@ -62,12 +62,6 @@
 	return a
 }
 
-func refuse(status, after int, why string) httpx.Response {
-	return httpx.Response{Status: status, RetryAfter: after, Body: wire.Error(why)}
-}
-
-var unavailable = refuse(http.StatusServiceUnavailable, 1, "the state service can't be asked, come back")
-
 // Serve answers a user's request; it returns false for paths of others. What
 // can't be answered for want of the state service is passed on to another node
 // once, unless it was passed on to us.
@@ -78,7 +72,7 @@
 	// The request's buffer is used again when the answer comes later.
 	again := &httpx.Request{Method: r.Method, Path: r.Path, Body: append([]byte(nil), r.Body...)}
 	return a.serve(r, func(resp httpx.Response) {
-		if resp.Status != unavailable.Status || !bytes.Equal(resp.Body, unavailable.Body) ||
+		if resp.Status != answer.Unavailable.Status || !bytes.Equal(resp.Body, answer.Unavailable.Body) ||
 			// Polls are many and come again: only if we are cut off.
 			again.Method == "GET" && !a.cutOff() ||
 			!a.Elsewhere(again, func(other httpx.Response, ok bool) {
@@ -102,15 +96,15 @@
 	switch {
 	case r.Path == wire.PathHealth:
 		if r.Method != "GET" {
-			reply(refuse(405, 0, "GET only"))
+			reply(answer.Refuse(405, 0, "GET only"))
 		} else if a.Healthy() {
 			reply(httpx.Response{Status: 200, Body: []byte(`{}`)})
 		} else {
-			reply(refuse(503, 1, "not ready"))
+			reply(answer.Refuse(503, 1, "not ready"))
 		}
 	case r.Path == wire.PathJobs:
 		if r.Method != "POST" {
-			reply(refuse(405, 0, "POST only"))
+			reply(answer.Refuse(405, 0, "POST only"))
 			return true
 		}
 		a.submit(r.Body, reply)
@@ -120,22 +114,22 @@
 		switch {
 		case verb == "" && !strings.Contains(rest, "/"):
 			if r.Method != "GET" {
-				reply(refuse(405, 0, "GET only"))
+				reply(answer.Refuse(405, 0, "GET only"))
 			} else if !wire.ValidJobID(id) {
-				reply(refuse(404, 0, "no such job"))
+				reply(answer.Refuse(404, 0, "no such job"))
 			} else {
 				a.poll(id, reply)
 			}
 		case verb == wire.PathWithdraw:
 			if r.Method != "POST" {
-				reply(refuse(405, 0, "POST only"))
+				reply(answer.Refuse(405, 0, "POST only"))
 			} else if !wire.ValidJobID(id) {
-				reply(refuse(404, 0, "no such job"))
+				reply(answer.Refuse(404, 0, "no such job"))
 			} else {
 				a.cancel(id, 4, reply)
 			}
 		default:
-			reply(refuse(404, 0, "no such path"))
+			reply(answer.Refuse(404, 0, "no such path"))
 		}
 	default:
 		return false
@@ -193,11 +187,11 @@
 func (a *Actor) submit(body []byte, reply func(httpx.Response)) {
 	s, err := wire.DecodeJob(body)
 	if err != nil {
-		reply(refuse(400, 0, err.Error()))
+		reply(answer.Refuse(400, 0, "%v", err))
 		return
 	}
 	if !a.store.Synced() {
-		reply(unavailable)
+		reply(answer.Unavailable)
 		return
 	}
 	key := ledger.JobKey(s.ID)
@@ -206,25 +200,25 @@
 		return
 	}
 	if len(a.types) == 0 {
-		reply(refuse(503, 1, "the machine types aren't known yet"))
+		reply(answer.Refuse(503, 1, "the machine types aren't known yet"))
 		return
 	}
 	if err := a.check(s); err != nil {
-		reply(refuse(422, 0, err.Error()))
+		reply(answer.Refuse(422, 0, "%v", err))
 		return
 	}
 	if len(s.Units) > 0 && a.Units != nil {
 		understood, err := a.Units(s)
 		if errors.Is(err, units.ErrUnreadable) {
-			reply(refuse(503, 5, err.Error()))
+			reply(answer.Refuse(503, 5, "%v", err))
 			return
 		}
 		if err != nil {
-			reply(refuse(422, 0, err.Error()))
+			reply(answer.Refuse(422, 0, "%v", err))
 			return
 		}
 		if !understood {
-			reply(refuse(503, 30, "a controller runs a program that counts no resources: finish the upgrade first"))
+			reply(answer.Refuse(503, 30, "a controller runs a program that counts no resources: finish the upgrade first"))
 			return
 		}
 	}
@@ -232,7 +226,7 @@
 	rec := ledger.NewRecord(s, a.env.Wall().UnixMilli(), nonce, ledger.ChunkTasks(a.store.Config().ValueBytes))
 	t := wire.Txn{When: []wire.Cond{{Path: key}}, Apply: []wire.Change{{Write: key, Value: rec.Encode()}}}
 	if len(t.Apply[0].Value) > a.store.Config().ValueBytes {
-		reply(refuse(400, 0, "the description is too long"))
+		reply(answer.Refuse(400, 0, "the description is too long"))
 		return
 	}
 	a.create(s, t, nonce, 4, reply)
@@ -251,7 +245,7 @@
 			// There already: by a retry, or by an earlier copy of this write.
 			a.store.Get(t.When[0].Path, func(it *statestore.Item, ok bool) {
 				if !ok || it == nil {
-					reply(unavailable)
+					reply(answer.Unavailable)
 					return
 				}
 				rec, err := ledger.DecodeRecord(s.ID, it.Value)
@@ -266,16 +260,16 @@
 				a.create(s, t, nonce, tries-1, reply)
 				return
 			}
-			reply(unavailable)
+			reply(answer.Unavailable)
 		default:
-			reply(unavailable)
+			reply(answer.Unavailable)
 		}
 	})
 }
 
 func (a *Actor) poll(id string, reply func(httpx.Response)) {
 	if !a.store.Synced() {
-		reply(unavailable)
+		reply(answer.Unavailable)
 		return
 	}
 	key := ledger.JobKey(id)
@@ -288,9 +282,9 @@
 	a.store.Read(key, func(it *statestore.Item, ok bool) {
 		switch {
 		case !ok:
-			reply(unavailable)
+			reply(answer.Unavailable)
 		case it == nil:
-			reply(refuse(404, 0, "no such job"))
+			reply(answer.Refuse(404, 0, "no such job"))
 		default:
 			a.tell(id, it, reply)
 		}
@@ -302,7 +296,7 @@
 	rec, err := ledger.DecodeRecord(id, it.Value)
 	if err != nil {
 		a.env.Log().Error("job record can't be read, kept as it is", "key", ledger.JobKey(id), "err", err)
-		reply(refuse(503, 5, "the job's record can't be read"))
+		reply(answer.Refuse(503, 5, "the job's record can't be read"))
 		return
 	}
 	done, running := 0, 0
@@ -349,22 +343,22 @@
 
 func (a *Actor) cancel(id string, tries int, reply func(httpx.Response)) {
 	if !a.store.Synced() {
-		reply(unavailable)
+		reply(answer.Unavailable)
 		return
 	}
 	key := ledger.JobKey(id)
 	a.store.Read(key, func(it *statestore.Item, ok bool) {
 		if !ok {
-			reply(unavailable)
+			reply(answer.Unavailable)
 			return
 		}
 		if it == nil {
-			reply(refuse(404, 0, "no such job"))
+			reply(answer.Refuse(404, 0, "no such job"))
 			return
 		}
 		rec, err := ledger.DecodeRecord(id, it.Value)
 		if err != nil {
-			reply(refuse(503, 5, "the job's record can't be read"))
+			reply(answer.Refuse(503, 5, "the job's record can't be read"))
 			return
 		}
 		if rec.Final != ledger.Open {
@@ -386,7 +380,7 @@
 				// Look again: it may be done, or an earlier copy was applied.
 				a.env.After(20*time.Millisecond, func() { a.cancel(id, tries-1, reply) })
 			default:
-				reply(unavailable)
+				reply(answer.Unavailable)
 			}
 		})
 	})
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -93,7 +93,7 @@
 	if err := c.open(); err != nil {
 		return err
 	}
-	for i, s := range c.world.Settings() {
+	for i, s := range c.world.Set {
 		k := &controller{c: c, i: i, set: s}
 		c.nodes = append(c.nodes, k)
 		if err := k.write(); err != nil {
--- a/internal/dev/sockets.go
+++ b/internal/dev/sockets.go
@@ -48,7 +48,7 @@
 
 // open opens the sockets of the state service, the cloud and the load balancer.
 func (c *Cluster) open() error {
-	for i, s := range c.world.Settings() {
+	for i, s := range c.world.Set {
 		from := s.Label
 		if err := c.hear(fmt.Sprint("state ", i), s.External.State, c.standIn("state", from)); err != nil {
 			return err
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -437,6 +437,15 @@
 	}
 }
 
+// Grace is how many seconds a placement's task is to be given to save when it is
+// stopped; 0 if it has nothing to save.
+func (p *Placement) Grace() float64 {
+	if p.Job.Spec.CheckpointS > 0 && p.Phase == model.Running {
+		return p.Job.Spec.SaveS + 1
+	}
+	return 0
+}
+
 // CauseReturned is why the tasks of a machine that was given back are gone.
 const CauseReturned = "its machine was returned"
 
--- a/internal/node/units.go
+++ b/internal/node/units.go
@@ -69,12 +69,8 @@
 			return
 		}
 		over -= r.Holders[p]
-		grace := 0.0
-		if p.Job.Spec.CheckpointS > 0 && p.Phase == model.Running {
-			grace = p.Job.Spec.SaveS + 1
-		}
 		t.n.env.Log().Info("stopping what exceeds a resource's count", "resource", r.Name, "job", p.Job.Spec.ID, "task", p.Task, "machine", p.M.Name)
-		t.led.Stop(p, grace, "resource "+r.Name+" has fewer units now")
+		t.led.Stop(p, p.Grace(), "resource "+r.Name+" has fewer units now")
 	}
 }
 
--- a/internal/rollout/check_test.go
+++ b/internal/rollout/check_test.go
@@ -62,7 +62,7 @@
 	rec := ledger.NewRecord(&model.Spec{ID: "j-2", Kind: model.Service, Tasks: n, Image: "i"}, 0, "", 100)
 	l.JobEvent(ledger.JobKey("j-2"), &statestore.Item{Value: rec.Encode(), Stamp: 1})
 	j := l.Jobs["j-2"]
-	c := newChecker(e, share, 3*time.Second, func(m *ledger.Machine) string { return m.ListedAddr })
+	c := newChecker(e, share, 3*time.Second)
 	for i := range n {
 		m := l.Machine(fmt.Sprintf("vm-%05d", i/10))
 		m.ListedAddr, m.Addr, m.LastHeard = fmt.Sprintf("10.1.%d.%d:9000", i/2500, i/10%250+1), "192.168.0.1:1", e.now
--- a/internal/rollout/door.go
+++ b/internal/rollout/door.go
@@ -2,11 +2,11 @@
 
 import (
 	"fmt"
-	"net/http"
 	"slices"
 	"strings"
 
 	"brooklb/internal/actor"
+	"brooklb/internal/answer"
 	"brooklb/internal/httpx"
 	"brooklb/internal/model"
 	"brooklb/internal/settings"
@@ -38,12 +38,6 @@
 	return d
 }
 
-func refuse(status, after int, format string, args ...any) httpx.Response {
-	return httpx.Response{Status: status, RetryAfter: after, Body: wire.Error(fmt.Sprintf(format, args...))}
-}
-
-var unavailable = refuse(http.StatusServiceUnavailable, 1, "the state service can't be asked, come back")
-
 // mostListed bounds how many services one answer lists.
 const mostListed = 200
 
@@ -53,7 +47,7 @@
 		return false
 	}
 	if !d.store.Synced() {
-		reply(unavailable)
+		reply(answer.Unavailable)
 		return true
 	}
 	rest := strings.TrimPrefix(strings.TrimPrefix(r.Path, wire.PathServices), "/")
@@ -64,11 +58,11 @@
 	}
 	switch {
 	case r.Method != want:
-		reply(refuse(405, 0, "%s only", want))
+		reply(answer.Refuse(405, 0, "%s only", want))
 	case rest == "":
 		d.list(reply)
 	case !wire.ValidService(name):
-		reply(refuse(404, 0, "%q is no name of a service: up to 40 of a-z, 0-9 and -", name))
+		reply(answer.Refuse(404, 0, "%q is no name of a service: up to 40 of a-z, 0-9 and -", name))
 	case verb == "":
 		d.status(name, reply)
 	case verb == wire.VerbHistory:
@@ -78,12 +72,12 @@
 	case slices.Contains([]string{wire.VerbPause, wire.VerbResume, wire.VerbAbort, wire.VerbWithdraw}, verb):
 		asked, err := wire.DecodeAsked(r.Body)
 		if err != nil {
-			reply(refuse(400, 0, "%v", err))
+			reply(answer.Refuse(400, 0, "%v", err))
 			return true
 		}
 		d.ask(name, verb, asked, 4, reply)
 	default:
-		reply(refuse(404, 0, "no such path"))
+		reply(answer.Refuse(404, 0, "no such path"))
 	}
 	return true
 }
@@ -92,7 +86,7 @@
 func (d *Door) read(name string, reply func(httpx.Response), then func(rec *Record, stamp uint64)) {
 	d.store.Read(Key(name), func(it *statestore.Item, ok bool) {
 		if !ok {
-			reply(unavailable)
+			reply(answer.Unavailable)
 			return
 		}
 		if it == nil {
@@ -102,7 +96,7 @@
 		rec, err := Decode(name, it.Value)
 		if err != nil {
 			d.env.Log().Error("service record can't be read, kept as it is", "key", Key(name), "err", err)
-			reply(refuse(503, 5, "the record of service %s can't be read", name))
+			reply(answer.Refuse(503, 5, "the record of service %s can't be read", name))
 			return
 		}
 		then(rec, it.Stamp)
@@ -126,7 +120,7 @@
 func (d *Door) status(name string, reply func(httpx.Response)) {
 	d.read(name, reply, func(rec *Record, _ uint64) {
 		if rec == nil {
-			reply(refuse(404, 0, "no service %s is known", name))
+			reply(answer.Refuse(404, 0, "no service %s is known", name))
 			return
 		}
 		reply(d.tell(name, rec))
@@ -166,7 +160,7 @@
 func (d *Door) history(name string, reply func(httpx.Response)) {
 	d.read(name, reply, func(rec *Record, _ uint64) {
 		if rec == nil {
-			reply(refuse(404, 0, "no service %s is known", name))
+			reply(answer.Refuse(404, 0, "no service %s is known", name))
 			return
 		}
 		var out struct {
@@ -196,7 +190,7 @@
 
 // underWay is the refusal of what can't be done during a roll-out.
 func underWay(name string, rec *Record) httpx.Response {
-	return refuse(409, 30, "roll-out %s to %s is under way (%s, step %d of %d): wait for its end, or abort it", rec.id(name), rec.New.Job,
+	return answer.Refuse(409, 30, "roll-out %s to %s is under way (%s, step %d of %d): wait for its end, or abort it", rec.id(name), rec.New.Job,
 		rec.Roll.State, rec.Roll.Step+1, rec.steps())
 }
 
@@ -212,7 +206,7 @@
 		case r == statestore.Maybe && tries > 0:
 			d.commit(t, tries-1, reply, done, conflict)
 		default:
-			reply(unavailable)
+			reply(answer.Unavailable)
 		}
 	})
 }
@@ -221,7 +215,7 @@
 func (d *Door) ask(name, verb string, asked wire.Asked, tries int, reply func(httpx.Response)) {
 	d.read(name, reply, func(rec *Record, stamp uint64) {
 		if rec == nil {
-			reply(refuse(404, 0, "no service %s is known", name))
+			reply(answer.Refuse(404, 0, "no service %s is known", name))
 			return
 		}
 		if verb == wire.VerbWithdraw {
@@ -229,7 +223,7 @@
 			return
 		}
 		if rec.Roll == nil {
-			reply(refuse(409, 0, "service %s has no roll-out under way", name))
+			reply(answer.Refuse(409, 0, "service %s has no roll-out under way", name))
 			return
 		}
 		c := rec.copy()
@@ -238,7 +232,7 @@
 		switch verb {
 		case wire.VerbPause:
 			if c.Roll.State == Returning || c.Roll.State == Stuck {
-				reply(refuse(409, 0, "roll-out %s is %s, only its way forward can be paused", rec.id(name), c.Roll.State))
+				reply(answer.Refuse(409, 0, "roll-out %s is %s, only its way forward can be paused", rec.id(name), c.Roll.State))
 				return
 			}
 			c.Roll.Paused, c.Roll.Why = true, clip(by("paused", asked))
@@ -256,7 +250,7 @@
 		case wire.VerbAbort:
 			switch {
 			case c.Cur == nil:
-				reply(refuse(409, 0, "service %s has no earlier version to go back to: withdraw it", name))
+				reply(answer.Refuse(409, 0, "service %s has no earlier version to go back to: withdraw it", name))
 				return
 			case c.Roll.State == Returning:
 				reply(d.tell(name, rec))
@@ -276,7 +270,7 @@
 	}, func() {
 		// The leader wrote meanwhile, or it was an earlier copy of ours.
 		if tries == 0 {
-			reply(refuse(503, 1, "the roll-out changes too often just now, come back"))
+			reply(answer.Refuse(503, 1, "the roll-out changes too often just now, come back"))
 			return
 		}
 		d.ask(name, verb, asked, tries-1, reply)
@@ -306,7 +300,7 @@
 	}
 	when, apply, err := closing(d.store, name, rec.N, p, []*version{rec.Cur, rec.New}, why)
 	if err != nil {
-		reply(refuse(503, 5, "%v", err))
+		reply(answer.Refuse(503, 5, "%v", err))
 		return
 	}
 	c := rec.copy()
--- a/internal/rollout/health.go
+++ b/internal/rollout/health.go
@@ -43,7 +43,6 @@
 	spec    *wire.Health // nil: only its running counts
 	at      time.Duration
 	pos     int // in the heap, -1: not
-	flying  bool
 	gone    bool
 	passes  int // in a row
 	fails   int
@@ -56,7 +55,6 @@
 // bounds of sockets and processor time.
 type checker struct {
 	env    actor.Env
-	listed func(m *ledger.Machine) string // its address by the cloud's list, "" if not listed
 	report time.Duration
 	all    map[instanceID]*checked
 	due    dueHeap
@@ -66,8 +64,6 @@
 	gen    int // what was asked before a standstill proves nothing
 	timer  *actor.Timer
 	took   *hdrhistogram.Histogram // of answers, in microseconds
-	made   int
-	begun  time.Duration
 }
 
 type instanceID struct {
@@ -89,11 +85,11 @@
 	return c
 }
 
-func newChecker(env actor.Env, share float64, report time.Duration, listed func(m *ledger.Machine) string) *checker {
+func newChecker(env actor.Env, share float64, report time.Duration) *checker {
 	if share <= 0 || share > 1 {
 		share = 1
 	}
-	c := &checker{env: env, listed: listed, report: report, all: map[instanceID]*checked{}, rate: checkShare * share / checkCost.Seconds(),
+	c := &checker{env: env, report: report, all: map[instanceID]*checked{}, rate: checkShare * share / checkCost.Seconds(),
 		took: hdrhistogram.New(1, 60_000_000, 2)}
 	c.bucket.SetRate(c.rate, max(4, c.rate/4))
 	return c
@@ -120,9 +116,6 @@
 	c.all[id] = x
 	if spec != nil {
 		delay := time.Duration(spec.DelayS * float64(time.Second))
-		if len(c.all) == 1 {
-			c.begun, c.made = c.env.Now(), 0
-		}
 		x.at = max(c.env.Now(), p.RunSince+delay) + c.spread(time.Duration(spec.IntervalS*float64(time.Second)/4))
 		heap.Push(&c.due, x)
 		c.arm()
@@ -174,8 +167,8 @@
 
 // address is where an instance is asked, "" if that isn't known. It is always on
 // the machine that the cloud listed.
-func (x *checked) address(listed string) string {
-	host, worker, err := net.SplitHostPort(listed)
+func (x *checked) address() string {
+	host, worker, err := net.SplitHostPort(x.p.M.ListedAddr)
 	if err != nil || host == "" {
 		return ""
 	}
@@ -203,13 +196,12 @@
 		heap.Push(&c.due, x)
 		c.arm()
 	}
-	addr := x.address(c.listed(x.p.M))
+	addr := x.address()
 	if addr == "" {
 		again()
 		return
 	}
 	c.flying++
-	c.made++
 	gen, sent := c.gen, c.env.Now()
 	heard := x.p.M.LastHeard
 	c.env.Call(actor.Call{Addr: addr, Method: "GET", Path: x.path(), Once: true, Timeout: time.Duration(x.spec.TimeoutS * float64(time.Second)),
--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -75,7 +75,19 @@
 
 func (s *set) has(i int) bool { return s.Test(uint(i)) }
 func (s *set) size() int      { return int(s.Count()) }
-func (s *set) clone() set     { return set{*s.Clone()} }
+func (s *set) add(is []int) {
+	for _, i := range is {
+		s.Set(uint(i))
+	}
+}
+
+func (s *set) remove(is []int) {
+	for _, i := range is {
+		s.Clear(uint(i))
+	}
+}
+
+func (s *set) clone() set { return set{*s.Clone()} }
 
 // MarshalJSON implements json.Marshaler.
 func (s set) MarshalJSON() ([]byte, error) {
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -8,7 +8,6 @@
 
 	"brooklb/internal/actor"
 	"brooklb/internal/ledger"
-	"brooklb/internal/model"
 	"brooklb/internal/statestore"
 	"brooklb/internal/wire"
 )
@@ -25,11 +24,9 @@
 	led     *ledger.Ledger
 	store   *statestore.Store
 	token   uint64
-	cfg     Config
 	check   *checker
 	all     map[string]*service
 	active  []*service // those with a roll-out, by name
-	began   time.Duration
 	ticked  time.Duration
 	stopped bool
 	// OnDeposed hears that another leads.
@@ -61,11 +58,10 @@
 	leaveWrites = 4
 )
 
-// New makes the actor of a term. listed tells a machine's address by the cloud's
-// list.
+// New makes the actor of a term.
 func New(env actor.Env, led *ledger.Ledger, store *statestore.Store, token uint64, cfg Config) *Actor {
-	return &Actor{env: env, led: led, store: store, token: token, cfg: cfg, all: map[string]*service{}, began: env.Now(),
-		check: newChecker(env, cfg.Share, cfg.Report, func(m *ledger.Machine) string { return m.ListedAddr })}
+	return &Actor{env: env, led: led, store: store, token: token, all: map[string]*service{},
+		check: newChecker(env, cfg.Share, cfg.Report)}
 }
 
 // Load reads the services' records from the replica. Until then nothing of a
@@ -170,11 +166,7 @@
 		a.led.SetWanted(j, func(i int) bool { return i < v.Tasks && v.On.has(i) })
 		for i := range j.Tasks {
 			if p := j.Tasks[i].P; p != nil && j.Tasks[i].Off && !p.Stopping {
-				grace := 0.0
-				if j.Spec.CheckpointS > 0 && p.Phase == model.Running {
-					grace = j.Spec.SaveS + 1
-				}
-				a.led.Stop(p, grace, "replaced in roll-out "+s.rec.id(s.name))
+				a.led.Stop(p, p.Grace(), "replaced in roll-out "+s.rec.id(s.name))
 			}
 		}
 	}
--- a/internal/rollout/start.go
+++ b/internal/rollout/start.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"brooklb/internal/answer"
 	"brooklb/internal/httpx"
 	"brooklb/internal/ledger"
 	"brooklb/internal/model"
@@ -14,33 +15,33 @@
 func (d *Door) start(name string, body []byte, reply func(httpx.Response)) {
 	plan, err := wire.DecodeRollout(body)
 	if err != nil {
-		reply(refuse(400, 0, "%v", err))
+		reply(answer.Refuse(400, 0, "%v", err))
 		return
 	}
 	s := plan.Job
 	if s.Kind != model.Service {
-		reply(refuse(422, 0, "only services are rolled out: %s is a job whose tasks end by themselves", s.ID))
+		reply(answer.Refuse(422, 0, "only services are rolled out: %s is a job whose tasks end by themselves", s.ID))
 		return
 	}
 	if s.Tasks > MostInstances {
-		reply(refuse(422, 0, "a service that is rolled out has at most %d instances", MostInstances))
+		reply(answer.Refuse(422, 0, "a service that is rolled out has at most %d instances", MostInstances))
 		return
 	}
 	known, err := d.Check(s)
 	if !known {
-		reply(refuse(503, 1, "the machine types aren't known yet"))
+		reply(answer.Refuse(503, 1, "the machine types aren't known yet"))
 		return
 	}
 	if err != nil {
-		reply(refuse(422, 0, "%v", err))
+		reply(answer.Refuse(422, 0, "%v", err))
 		return
 	}
 	if plan.After == name {
-		reply(refuse(422, 0, "field after names the service itself"))
+		reply(answer.Refuse(422, 0, "field after names the service itself"))
 		return
 	}
 	if d.Understood != nil && !d.Understood() {
-		reply(refuse(503, 30, "a controller runs a program that knows no roll-outs: finish the upgrade first"))
+		reply(answer.Refuse(503, 30, "a controller runs a program that knows no roll-outs: finish the upgrade first"))
 		return
 	}
 	d.read(name, reply, func(rec *Record, stamp uint64) {
@@ -55,24 +56,24 @@
 		d.store.Read(ledger.JobKey(s.ID), func(it *statestore.Item, ok bool) {
 			switch {
 			case !ok:
-				reply(unavailable)
+				reply(answer.Unavailable)
 			case it != nil:
-				reply(refuse(409, 0, "there is a job %s already: each version has an id of its own, which never returns", s.ID))
+				reply(answer.Refuse(409, 0, "there is a job %s already: each version has an id of its own, which never returns", s.ID))
 			case from == "":
 				d.create(name, rec, stamp, plan, nil, 0, reply)
 			default:
 				d.store.Read(ledger.JobKey(from), func(it *statestore.Item, ok bool) {
 					if !ok {
-						reply(unavailable)
+						reply(answer.Unavailable)
 						return
 					}
 					if it == nil {
-						reply(refuse(404, 0, "no job %s is known", from))
+						reply(answer.Refuse(404, 0, "no job %s is known", from))
 						return
 					}
 					old, err := ledger.DecodeRecord(from, it.Value)
 					if err != nil {
-						reply(refuse(503, 5, "the record of job %s can't be read", from))
+						reply(answer.Refuse(503, 5, "the record of job %s can't be read", from))
 						return
 					}
 					d.create(name, rec, stamp, plan, old, it.Stamp, reply)
@@ -89,7 +90,7 @@
 		n := 0
 		d.store.Each(Prefix, func(string, statestore.Item) { n++ })
 		if n >= MostServices {
-			return no(refuse(422, 0, "%d services are known, which is the most", n))
+			return no(answer.Refuse(422, 0, "%d services are known, which is the most", n))
 		}
 	}
 	if rec != nil && rec.Roll != nil {
@@ -103,21 +104,21 @@
 			return no(d.tell(name, rec))
 		}
 		if plan.From != "" && plan.From != rec.Cur.Job {
-			return no(refuse(409, 0, "service %s is %s, not %s", name, rec.Cur.Job, plan.From))
+			return no(answer.Refuse(409, 0, "service %s is %s, not %s", name, rec.Cur.Job, plan.From))
 		}
 	}
 	// Services that wait for each other would wait for ever.
 	for after, k := plan.After, 0; after != ""; k++ {
 		it, ok := d.store.Peek(Key(after))
 		if !ok {
-			return no(refuse(422, 0, "field after: no service %s is known", after))
+			return no(answer.Refuse(422, 0, "field after: no service %s is known", after))
 		}
 		other, err := Decode(after, it.Value)
 		if err != nil {
-			return no(refuse(503, 5, "the record of service %s can't be read", after))
+			return no(answer.Refuse(503, 5, "the record of service %s can't be read", after))
 		}
 		if k > 20 || other.Roll != nil && other.Roll.Plan.After == name {
-			return no(refuse(422, 0, "field after: service %s waits for %s itself", after, name))
+			return no(answer.Refuse(422, 0, "field after: service %s waits for %s itself", after, name))
 		}
 		after = ""
 		if other.Roll != nil {
@@ -143,20 +144,20 @@
 		spec := old.JobSpec()
 		switch {
 		case old.Final != ledger.Open:
-			reply(refuse(409, 0, "job %s is over, it can't be replaced", from))
+			reply(answer.Refuse(409, 0, "job %s is over, it can't be replaced", from))
 			return
 		case spec.Kind != model.Service:
-			reply(refuse(422, 0, "only services are rolled out: %s is a job whose tasks end by themselves", from))
+			reply(answer.Refuse(422, 0, "only services are rolled out: %s is a job whose tasks end by themselves", from))
 			return
 		case spec.Tasks > MostInstances:
-			reply(refuse(422, 0, "a service that is rolled out has at most %d instances", MostInstances))
+			reply(answer.Refuse(422, 0, "a service that is rolled out has at most %d instances", MostInstances))
 			return
 		case old.Service != "" && old.Service != name:
-			reply(refuse(409, 0, "job %s is a version of service %s", from, old.Service))
+			reply(answer.Refuse(409, 0, "job %s is a version of service %s", from, old.Service))
 			return
 		}
 		if why := d.noRoom(plan, spec); why != "" {
-			reply(refuse(422, 0, "%s", why))
+			reply(answer.Refuse(422, 0, "%s", why))
 			return
 		}
 		t.When = append(t.When, wire.Cond{Path: ledger.JobKey(from), Stamp: oldStamp})
@@ -187,7 +188,7 @@
 	for _, x := range t.Apply {
 		// Evidence, zones and the sets of instances come later.
 		if len(x.Value)+mostText*(mostProofs+2) > d.store.Config().ValueBytes && x.Write == Key(name) || len(x.Value) > d.store.Config().ValueBytes {
-			reply(refuse(400, 0, "the description is too long"))
+			reply(answer.Refuse(400, 0, "the description is too long"))
 			return
 		}
 	}
@@ -207,7 +208,7 @@
 		return ""
 	}
 	if n := old.Need.Times(float64(old.Tasks)).Add(s.Need); !t.Within(n) {
-		return fmt.Sprintf("the limit of team %q leaves no room for one more instance beside all old ones, and none may be missing: allow some with unavailable", s.Team)
+		return fmt.Sprintf("the limit of team %q leaves no room for one more instance beside all old ones, and none may be missing: allow some with answer.Unavailable", s.Team)
 	}
 	return ""
 }
@@ -221,7 +222,7 @@
 		case rec != nil && rec.Roll != nil:
 			reply(underWay(name, rec))
 		default:
-			reply(refuse(503, 1, "something changed meanwhile, come back"))
+			reply(answer.Refuse(503, 1, "something changed meanwhile, come back"))
 		}
 	})
 }
--- a/internal/rollout/steps.go
+++ b/internal/rollout/steps.go
@@ -165,8 +165,8 @@
 		on, off := swap(young, old, t.k, t.keep, a.bounds(rec), func(i int) bool { return t.zone == "" || rec.mayGo(old[i].Zone) })
 		if len(on)+len(off) > 0 {
 			c := rec.copy()
-			c.enable(c.New, on)
-			c.disable(c.Cur, off)
+			c.New.On.add(on)
+			c.Cur.On.remove(off)
 			c.Roll.Why = clip(s.waits)
 			a.write(s, c, nil, nil)
 			return
@@ -234,18 +234,6 @@
 	return i <= r.Roll.Step // unknown ones too
 }
 
-func (r *Record) enable(v *version, is []int) {
-	for _, i := range is {
-		v.On.Set(uint(i))
-	}
-}
-
-func (r *Record) disable(v *version, is []int) {
-	for _, i := range is {
-		v.On.Clear(uint(i))
-	}
-}
-
 // waiting says in a sentence what a roll-out waits for.
 func (a *Actor) waiting(s *service, young side, t target) string {
 	text := fmt.Sprintf("%d of %d new instances are healthy", young.healthy(), t.k)
@@ -352,8 +340,8 @@
 	}
 	if len(on)+len(off) > 0 {
 		c := rec.copy()
-		c.enable(c.Cur, on)
-		c.disable(c.New, off)
+		c.Cur.On.add(on)
+		c.New.On.remove(off)
 		a.write(s, c, nil, nil)
 		return
 	}
--- a/internal/sim/outside.go
+++ b/internal/sim/outside.go
@@ -4,12 +4,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"log/slog"
 	"strings"
 	"time"
 
 	"brooklb/internal/actor"
-	"brooklb/internal/settings"
 )
 
 // Outside carries what a World's stand-ins say over real sockets. Its methods are
@@ -36,15 +34,9 @@
 	return w.events[0].at
 }
 
-// Settings are the controllers' own.
-func (w *World) Settings() []*settings.Settings { return w.Set }
-
 // SetUp tells that a controller on real sockets is there, or not.
 func (w *World) SetUp(i int, up bool) { w.nodes[i].up = up }
 
-// Log is where the stand-ins log to.
-func (w *World) Log() *slog.Logger { return w.log }
-
 // Between tells whether the network between two hosts is cut, until when, and
 // whether what is sent waits for the end.
 func (w *World) Between(a, b string) (until time.Duration, hold, is bool) {
--- a/internal/sim/service.go
+++ b/internal/sim/service.go
@@ -110,9 +110,9 @@
 	// themselves or with their machines.
 	wasWell map[*runner]time.Duration
 	lost    []time.Duration
-	// Halted and Begun are when an instance was last stopped by order, by version, and begun.
-	Halted, Begun map[string]time.Duration
-	free          bool // withdrawn: nothing is to be kept
+	// Halted is when an instance was last stopped by order, by version.
+	Halted map[string]time.Duration
+	free   bool // withdrawn: nothing is to be kept
 }
 
 // Version describes a version to roll out.
@@ -167,7 +167,7 @@
 	j, job := w.describe(v.Job)
 	s := w.services[v.Service]
 	if s == nil {
-		s = &userService{name: v.Service, wasWell: map[*runner]time.Duration{}, Halted: map[string]time.Duration{}, Begun: map[string]time.Duration{}}
+		s = &userService{name: v.Service, wasWell: map[*runner]time.Duration{}, Halted: map[string]time.Duration{}}
 		w.services[v.Service] = s
 		w.watchService(s)
 		if len(w.services) == 1 {
@@ -329,7 +329,6 @@
 	if s == nil {
 		return
 	}
-	s.Begun[r.job.id] = w.now
 	for _, x := range r.m.sorted() {
 		if x != r && x.phase != "ended" && r.listens() > 0 && x.listens() == r.listens() {
 			w.broke("port", "%s starts on %s beside %s, which has its port", r.key, r.m.Name, x.key)
--- a/internal/units/door.go
+++ b/internal/units/door.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"brooklb/internal/actor"
+	"brooklb/internal/answer"
 	"brooklb/internal/httpx"
 	"brooklb/internal/model"
 	"brooklb/internal/statestore"
@@ -30,12 +31,6 @@
 	return d
 }
 
-func refuse(status, after int, format string, args ...any) httpx.Response {
-	return httpx.Response{Status: status, RetryAfter: after, Body: wire.Error(fmt.Sprintf(format, args...))}
-}
-
-var unavailable = refuse(503, 1, "the state service can't be asked, come back")
-
 // Find reads a resource's record from the replica; nil if there is none.
 func (d *Door) Find(name string) (*Record, error) {
 	it, ok := d.store.Peek(Key(name))
@@ -61,7 +56,7 @@
 		return false
 	}
 	if !d.store.Synced() {
-		reply(unavailable)
+		reply(answer.Unavailable)
 		return true
 	}
 	name, verb, _ := strings.Cut(strings.TrimPrefix(strings.TrimPrefix(r.Path, wire.PathUnits), "/"), "/")
@@ -69,11 +64,11 @@
 	case name == "" && r.Method == "GET":
 		d.list(reply)
 	case !ValidName(name):
-		reply(refuse(400, 0, "%v", BadName(name)))
+		reply(answer.Refuse(400, 0, "%v", BadName(name)))
 	case verb == "" && r.Method == "GET":
 		d.read(name, reply, func(rec *Record, _ uint64) {
 			if rec == nil {
-				reply(refuse(404, 0, "no resource %s is known", name))
+				reply(answer.Refuse(404, 0, "no resource %s is known", name))
 				return
 			}
 			reply(httpx.Response{Status: 200, Body: wire.Encode(d.view(name, rec, true))})
@@ -81,14 +76,14 @@
 	case verb == "" && r.Method == "POST":
 		u, err := wire.DecodeUnits(r.Body)
 		if err != nil {
-			reply(refuse(400, 0, "%v", err))
+			reply(answer.Refuse(400, 0, "%v", err))
 			return true
 		}
 		d.change(name, func(rec *Record) error { return d.set(rec, u) }, 4, reply)
 	case verb == wire.VerbRemove && r.Method == "POST":
 		asked, err := wire.DecodeAsked(r.Body)
 		if err != nil {
-			reply(refuse(400, 0, "%v", err))
+			reply(answer.Refuse(400, 0, "%v", err))
 			return true
 		}
 		d.change(name, func(rec *Record) error {
@@ -99,7 +94,7 @@
 			return nil
 		}, 4, reply)
 	default:
-		reply(refuse(405, 0, "GET, or POST to set"))
+		reply(answer.Refuse(405, 0, "GET, or POST to set"))
 	}
 	return true
 }
@@ -108,13 +103,13 @@
 	d.store.Read(Key(name), func(it *statestore.Item, ok bool) {
 		switch {
 		case !ok:
-			reply(unavailable)
+			reply(answer.Unavailable)
 		case it == nil:
 			then(nil, 0)
 		default:
 			rec, err := Decode(name, it.Value)
 			if err != nil {
-				reply(refuse(503, 5, "the record of resource %s can't be read", name))
+				reply(answer.Refuse(503, 5, "the record of resource %s can't be read", name))
 				return
 			}
 			then(rec, it.Stamp)
@@ -166,7 +161,7 @@
 			n := 0
 			d.store.Each(Prefix, func(string, statestore.Item) { n++ })
 			if n >= MaxNamed {
-				reply(refuse(422, 0, "%d resources are known, which is the most", n))
+				reply(answer.Refuse(422, 0, "%d resources are known, which is the most", n))
 				return
 			}
 		}
@@ -176,13 +171,13 @@
 			if rec.V == 0 && strings.HasPrefix(err.Error(), "no resource") {
 				status = 404
 			}
-			reply(refuse(status, 0, "%v", err))
+			reply(answer.Refuse(status, 0, "%v", err))
 			return
 		}
 		c.AtMS, c.Change = d.env.Wall().UnixMilli(), fmt.Sprintf("%x", d.env.Rand().Uint64())
 		t := wire.Txn{When: []wire.Cond{{Path: Key(name), Stamp: stamp}}, Apply: []wire.Change{{Write: Key(name), Value: c.Encode()}}}
 		if len(t.Apply[0].Value) > d.store.Config().ValueBytes {
-			reply(refuse(400, 0, "too much for one resource: leave teams out"))
+			reply(answer.Refuse(400, 0, "too much for one resource: leave teams out"))
 			return
 		}
 		d.store.Commit(t, false, func(r statestore.Result, _ uint64, _ []string) {
@@ -194,7 +189,7 @@
 				// Look again: an earlier copy may be there, or the leader's number.
 				d.change(name, f, tries-1, reply)
 			default:
-				reply(unavailable)
+				reply(answer.Unavailable)
 			}
 		})
 	})
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -369,17 +369,11 @@
 // Evict stops a task, or the whole gang it belongs to, so that its progress is
 // saved where that is possible.
 func (a *Actor) Evict(p *ledger.Placement, why string) {
-	grace := func(q *ledger.Placement) float64 {
-		if q.Job.Spec.CheckpointS > 0 && q.Phase == model.Running {
-			return q.Job.Spec.SaveS + 1
-		}
-		return 0
-	}
 	if p.Job.Spec.Kind != model.Gang {
 		if p.Job.Spec.CheckpointS <= 0 && p.Phase == model.Running {
 			return // can't save: it may yet complete
 		}
-		a.led.Stop(p, grace(p), why)
+		a.led.Stop(p, p.Grace(), why)
 		return
 	}
 	if len(p.Job.Tasks) > 1 && ledger.Forming(p.Job) {
@@ -388,7 +382,7 @@
 	}
 	for i := range p.Job.Tasks {
 		if q := p.Job.Tasks[i].P; q != nil && !q.Stopping {
-			a.led.Stop(q, grace(q), why)
+			a.led.Stop(q, q.Grace(), why)
 		}
 	}
 	p.Job.Broken = p.Job.Placed > 0
