Overload: parts of what is taken in, a fair door, floors of what runs

Change: packages fair, intake; floors in placement; the leader hands parts of the changes to all nodes by demand, bound to its token, ending by the holder's own mark; a door that is fair by team and class, with Retry-After from what can be taken; nothing is planned while writes are behind; classes that fill a node's memory are shut; tasks stopped again and again before they ran pause. Why an earlier leader stopped a task is told as not kept. Mended: a placement whose end the last leader knew was started again beside what had taken its place.

--- a/brooklb.go
+++ b/brooklb.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"runtime"
 	"runtime/debug"
@@ -40,13 +41,17 @@
 	if err != nil {
 		return nil, err
 	}
-	opt := node.Options{Rollouts: c.Rollouts, Units: c.Units}
+	opt := node.Options{Rollouts: c.Rollouts, Units: c.Units, Sharing: settings.DefaultSharing()}
 	if c.OptionsFile != "" {
 		o, err := settings.LoadOptions(c.OptionsFile)
 		if err != nil {
 			return nil, err
 		}
 		opt.Rollouts, opt.Units, opt.Declared = opt.Rollouts || o.Rollouts, opt.Units || o.Units, o.Declared
+		if err := o.Sharing.Check(set.Facts.Teams); err != nil {
+			return nil, fmt.Errorf("options: %s: %w", c.OptionsFile, err)
+		}
+		opt.Sharing = o.Sharing
 	}
 	if c.Log == nil {
 		c.Log = slog.Default()
--- a/cmd/brooklb/user.go
+++ b/cmd/brooklb/user.go
@@ -178,7 +178,7 @@
 	answered := 0
 	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
 	if !a.asJSON {
-		fmt.Fprintln(w, "NODE\tHEALTHY\tLEADS\tTOKEN\tFOR\tSTATE SERVICE SILENT")
+		fmt.Fprintln(w, "NODE\tHEALTHY\tLEADS\tTOKEN\tFOR\tSTATE SERVICE SILENT\tCHANGES/S\tSUBMITTED/S\tACCEPTED/S\tREFUSED")
 	}
 	var leading *wire.Overview
 	a.client().Each(wire.PathOverview, func(node string, status int, b []byte, err error) {
@@ -201,7 +201,12 @@
 			fmt.Fprintln(out, string(b))
 			return
 		}
-		fmt.Fprintf(w, "%s\t%v\t%v\t%d\t%.0f s\t%.1f s\n", o.Node, o.Healthy, o.Leading, o.Token, o.LedS, o.StateSilentS)
+		d := o.Door
+		if d == nil { // an older program
+			d = &wire.DoorView{}
+		}
+		fmt.Fprintf(w, "%s\t%v\t%v\t%d\t%.0f s\t%.1f s\t%.1f\t%.1f\t%.1f\t%d\n", o.Node, o.Healthy, o.Leading, o.Token, o.LedS, o.StateSilentS,
+			d.Changes, d.Wanted, d.Admitted, d.Refused)
 		if o.Leading && (leading == nil || o.Token > leading.Token) {
 			leading = &o
 		}
@@ -218,6 +223,13 @@
 		for _, t := range o.Teams {
 			fmt.Fprintf(w, "%s\t%g\t%s\t%s\t%g\t%s\t%s\n", t.Name, t.CPUs, none(t.GuaranteedCPUs), none(t.MostCPUs), t.GPUs, none(t.GuaranteedGPUs), none(t.MostGPUs))
 		}
+		fmt.Fprintf(w, "\nCLASS\tTEAM\tJOBS\tWITHIN FLOOR\tTASKS WAITING\tPLACED\n")
+		for _, c := range o.Classes {
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\n", c.Class, c.Team, c.Jobs, c.Floor, c.Waiting, c.Placed)
+		}
+		if d := o.Door; d != nil && (d.Ease < 1 || len(d.Shut) > 0) {
+			fmt.Fprintf(w, "\noverload: %.0f%% of what could be taken in is handed out, writes are %.1f s behind, shut: %s\n", 100*d.Ease, d.BehindS, strings.Join(d.Shut, ", "))
+		}
 		fmt.Fprintf(w, "\n%d jobs, %d waiting with %d tasks, %d at fault themselves\n", o.Jobs.Open, o.Jobs.Waiting, o.Jobs.WaitingTasks, o.Jobs.AtFault)
 		if len(o.Queue) > 0 {
 			fmt.Fprintf(w, "\nJOB\tCLASS\tTEAM\tTASKS\tDONE\tPLACED\tAGE\tWHY IT WAITS\n")
--- a/internal/actor/actor.go
+++ b/internal/actor/actor.go
@@ -173,5 +173,8 @@
 	return min(b.burst, b.level+b.rate*(now-b.last).Seconds())
 }
 
+// Rate is how much comes in a second.
+func (b *Bucket) Rate() float64 { return b.rate }
+
 // Burst is the most that Level can be.
 func (b *Bucket) Burst() float64 { return b.burst }
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -11,8 +11,10 @@
 
 	"brooklb/internal/actor"
 	"brooklb/internal/answer"
+	"brooklb/internal/fair"
 	"brooklb/internal/fleet"
 	"brooklb/internal/httpx"
+	"brooklb/internal/intake"
 	"brooklb/internal/ledger"
 	"brooklb/internal/model"
 	"brooklb/internal/settings"
@@ -36,6 +38,9 @@
 	// Units says why a job could never have the counted resources that it asks for;
 	// understood is false while a controller runs that doesn't count them.
 	Units func(s *model.Spec) (understood bool, err error)
+	// Gate is the door for submissions; nil: all are let in.
+	Gate    *intake.Gate
+	pumping bool
 	// Healthy tells whether the node can take requests.
 	Healthy func() bool
 }
@@ -229,7 +234,34 @@
 		reply(answer.Refuse(400, 0, "the description is too long"))
 		return
 	}
-	a.create(s, t, nonce, 4, reply)
+	if a.Gate == nil {
+		a.create(s, t, nonce, 4, reply)
+		return
+	}
+	a.Gate.Offer(a.env.Now(), fair.Key{Team: s.Team, Class: s.Class}, func() { a.create(s, t, nonce, 4, reply) }, func(after int) {
+		reply(answer.Refuse(429, after, "more jobs of class %q of team %q come than can be taken, come back in %d s", s.Class, s.Team, after))
+	})
+	if a.Gate.Waiting() > 0 && !a.pumping {
+		a.pumping = true
+		a.env.After(pumpEvery, a.pump)
+	}
+}
+
+// pumpEvery is how often the door looks for room while somebody waits at it.
+const pumpEvery = 20 * time.Millisecond
+
+func (a *Actor) pump() {
+	a.pumping = a.Gate.Pump(a.env.Now())
+	if a.pumping {
+		a.env.After(pumpEvery, a.pump)
+	}
+}
+
+// Stood hears that the process stood still: who waited at the door may have given up.
+func (a *Actor) Stood() {
+	if a.Gate != nil {
+		a.Gate.Drop(a.env.Now())
+	}
 }
 
 func (a *Actor) create(s *model.Spec, t wire.Txn, nonce string, tries int, reply func(httpx.Response)) {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -41,6 +41,9 @@
 	// proven is when the last question was sent whose answer proved both that
 	// we lead and that the replica has everything up to then.
 	proven time.Duration
+	// renewed is when the last renewal was sent that was answered: until the lease's
+	// time has passed since then, nobody else can be elected.
+	renewed time.Duration
 	// abstain is until when this node leaves leading to others.
 	abstain time.Duration
 	// vacant is when the leader's key was last seen to be gone.
@@ -182,7 +185,7 @@
 	a.trying = false
 	a.permit, a.token = permit, token
 	a.known, a.knownAt = record{Node: a.label, Nonce: a.nonce}, token
-	a.proven = asked
+	a.proven, a.renewed = asked, asked
 	a.store.SetLeading(true)
 	a.env.Log().Info("elected", "token", token)
 	a.keep(token)
@@ -195,11 +198,14 @@
 }
 
 func (a *Actor) keep(first uint64) {
-	permit := a.permit
+	permit, asked := a.permit, a.env.Now()
 	a.store.Renew(permit, func(ok, gone bool) {
 		if a.permit != permit || a.token == 0 {
 			return
 		}
+		if ok {
+			a.renewed = asked
+		}
 		if gone {
 			a.lose("the lease has ended")
 			return
@@ -278,6 +284,11 @@
 // then is anything started, rented or returned.
 func (a *Actor) Sure() bool { return a.token != 0 && a.env.Now()-a.proven < ttl }
 
+// Alone reports whether it is certain that nobody else leads: our lease can't have
+// ended. Sure is less: the key was ours when we asked, but its lease may have ended
+// just after.
+func (a *Actor) Alone() bool { return a.token != 0 && a.env.Now()-a.renewed < ttl-ttl/100 }
+
 // Yield resigns and leaves leading to others for a while.
 func (a *Actor) Yield(why string, d time.Duration) {
 	a.abstain = a.env.Now() + d
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -6,6 +6,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"brooklb/internal/actor"
@@ -28,6 +29,7 @@
 	Want      *Machine // machine it is being moved to
 	WantUntil time.Duration
 	Off       bool // not wanted now, by a roll-out
+	Ousted    int  // how often it was stopped for others, in a row, before it ran
 }
 
 // Avoid keeps the task off a machine until the given time. Not for ever: when
@@ -397,10 +399,13 @@
 	durable := p.Durable
 	l.vacate(p)
 	if j.Final == Open {
-		if why != model.CauseStopped || p.StopWhy != "" {
+		if why != model.CauseStopped || p.StopWhy != "" || p.Inherited {
 			cause := why
-			if p.StopWhy != "" {
+			switch {
+			case p.StopWhy != "":
 				cause = p.StopWhy
+			case p.Inherited && strings.HasPrefix(why, model.CauseStopped):
+				cause = why + " by an earlier leader, which kept no reason"
 			}
 			j.Why = "task " + strconv.Itoa(p.Task) + " attempt " + strconv.FormatUint(p.Attempt, 10) + " on " + p.M.Name + ": " + cause
 		}
--- a/internal/ledger/units.go
+++ b/internal/ledger/units.go
@@ -54,6 +54,21 @@
 	}
 }
 
+// Over reports whether more is held than there is of something that the placement
+// holds, too: of its team's limit or of a counted resource.
+func (l *Ledger) Over(p *Placement) bool {
+	j := p.Job
+	if t := l.Teams[j.Spec.Team]; t != nil && !t.Within(model.Need{}) {
+		return true
+	}
+	for _, u := range j.asks {
+		if r := l.Units.All[u.i]; r.Used > r.There() {
+			return true
+		}
+	}
+	return false
+}
+
 // Asks reports whether the job asks for counted resources.
 func (j *Job) Asks() bool { return len(j.asks) > 0 }
 
--- a/internal/ledger/write.go
+++ b/internal/ledger/write.go
@@ -153,6 +153,18 @@
 	return lazyRank + 1, age >= markAfter
 }
 
+// Behind is how many seconds of our changes are waiting to be written: ends of jobs,
+// and placements that may be started once they are.
+func (l *Ledger) Behind() float64 {
+	n := len(l.ends)
+	for _, d := range l.dirty {
+		if d.job.chunks[d.n].urgent && d.job.Final == Open {
+			n++
+		}
+	}
+	return max(0, float64(n)-l.store.WriteRoom()) / max(0.1, l.store.WriteRate())
+}
+
 // flush writes what is to be written, one transaction at a time, as much as the
 // budget holds: first the ends of jobs, then what rank says. Every transaction
 // is conditional on our leadership, on the job's record (so that a cancellation
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,10 +8,10 @@
 
 	"brooklb/internal/actor"
 	"brooklb/internal/admission"
-	"brooklb/internal/consolidate"
 	"brooklb/internal/fleet"
 	"brooklb/internal/httpx"
 	"brooklb/internal/images"
+	"brooklb/internal/intake"
 	"brooklb/internal/leader"
 	"brooklb/internal/ledger"
 	"brooklb/internal/model"
@@ -47,6 +47,15 @@
 	// view is the last overview that was asked for.
 	view   []byte
 	viewAt time.Duration
+	// The door for submissions, what this node holds of what all may take in, the last
+	// mark heard of each peer, and until when a leader of an older program is believed
+	// to lead.
+	gate      *intake.Gate
+	holder    *intake.Holder
+	marks     map[string]uint64
+	weight    func(team string) float64
+	floors    *placement.Floors
+	oldLeader time.Duration
 	// knocks has the workers that came here looking for the leader.
 	knocks map[string]time.Duration
 }
@@ -81,6 +90,16 @@
 	left               []*ledger.Job
 	holds              map[*ledger.Machine]*placement.Hold
 	aims               *placement.Aims
+	// What all nodes take in: how it is divided, by how much it is eased, what is shut.
+	issuer  *intake.Issuer
+	issue   uint64
+	parts   map[string]uint64
+	divided time.Duration
+	ease    float64
+	shut    [][2]string
+	// floored are the jobs that were within a floor in the last pass.
+	floored    map[*ledger.Job]bool
+	lastFloors time.Duration
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
@@ -93,20 +112,32 @@
 	// Units lets operators set counted resources; Declared are those of their file.
 	Units    bool
 	Declared []units.Declared
+	// Sharing is how teams and classes share what is short; nil: no floors, weights by
+	// guarantees.
+	Sharing *settings.Sharing
 }
 
 // New makes a node; Start sets it going.
 func New(env actor.Env, set *settings.Settings, opt Options) *Node {
 	f := &set.Facts
-	n := &Node{env: env, set: set, opt: opt, knocks: map[string]time.Duration{}, woke: -time.Hour}
+	n := &Node{env: env, set: set, opt: opt, knocks: map[string]time.Duration{}, woke: -time.Hour, marks: map[string]uint64{}}
 	// A leader that can't reach the state service may keep workers' leases
 	// alive for so long that a job cancelled through another node is still gone
 	// in time: the hold, then a lease, with a margin for drift and delays.
 	n.hold = max(500*time.Millisecond, seconds(f.Workers.CancelS-f.Workers.LeaseS-4))
 	n.store = statestore.New(env, statestore.Config{Addr: set.External.State, RPS: f.State.RPS, WriteRPS: f.State.WriteRPS,
 		Nodes: f.Nodes, TxnOps: f.State.TxnOps, ValueBytes: int(f.State.ValueKB * 1024)})
+	n.store.Share = n.Share
 	n.warm = images.New(env, n.store)
 	n.adm = admission.New(env, n.store, f.Teams, f.Zones)
+	n.holder = intake.NewHolder(env.Rand().Uint64())
+	n.weight = opt.Sharing.Weight(f.Teams)
+	if opt.Sharing != nil {
+		n.floors = &placement.Floors{Sharing: opt.Sharing, Weight: n.weight}
+	}
+	n.gate = intake.NewGate(env.Rand(), n.weight)
+	n.gate.Room, n.gate.Rate = n.store.DoorOpen, n.store.DoorRate
+	n.adm.Gate = n.gate
 	n.door = rollout.NewDoor(env, n.store, f.Teams)
 	n.door.Check = n.adm.Check
 	var teams []string
@@ -125,6 +156,7 @@
 	}
 	n.peers = peer.New(env, set.Peers, n.status)
 	n.peers.OnLeader = n.newer
+	n.peers.OnStatus = n.heard
 	n.door.Understood = func() bool { return n.peers.AllRead(ledger.ServiceFormat) }
 	n.door.Live = func(name string) (*wire.RolloutLive, string) {
 		if n.term == nil {
@@ -178,6 +210,7 @@
 	if n.term != nil {
 		st.Token = n.term.token
 	}
+	n.tellParts(&st)
 	return st
 }
 
@@ -330,6 +363,7 @@
 	n.woke = n.env.Now()
 	n.store.Stood()
 	n.elect.Stood()
+	n.adm.Stood()
 	if t := n.term; t != nil {
 		t.workers.Stood(gap)
 		t.rollouts.Stood(gap)
@@ -341,6 +375,7 @@
 	f := &n.set.Facts
 	base, _ := leader.ReadBase(n.store) // else we would not have been elected
 	t := &term{n: n, token: token + base.Token, base: base, cleared: map[*ledger.Job]time.Duration{}, preempted: map[*ledger.Job]time.Duration{}, holds: map[*ledger.Machine]*placement.Hold{}, lastMoves: -consolidateEvery, aims: placement.NewAims(f.Objectives)}
+	t.issuer, t.ease = intake.NewIssuer(n.env.Now(), n.others(), n.store.OthersWrites()), 1
 	t.led = ledger.New(n.env, n.store, token, f.Teams)
 	t.led.Attempts = base.Attempts
 	t.fleet = fleet.New(n.env, t.led, n.store, token, fleet.Config{Charter: t.token, Cloud: n.set.External.Cloud, RPS: f.Cloud.RPS,
@@ -419,6 +454,7 @@
 	if t.closed {
 		return
 	}
+	t.divide()
 	t.countUnits()
 	t.led.Kick()
 	t.workersBack()
@@ -474,6 +510,8 @@
 	c := &t.led.Changes
 	t.n.env.Log().Info("written in this term", "for_s", tenth((now - t.workers.Began()).Seconds()), "starts", c.Starts, "tasks", c.Tasks, "ends", c.Ends,
 		"marks", c.Marks, "drops", c.Drops)
+	t.n.env.Log().Info("door", "ease", tenth(t.ease), "behind_s", tenth(t.led.Behind()), "others_hold", tenth(t.issuer.Held(now)), "wanted", tenth(t.n.gate.Want(now)),
+		"admitted", tenth(t.n.gate.Admitted(now)), "refused", t.n.gate.Refused, "shut", len(t.shut), "floored", len(t.floored))
 }
 
 func part(n, whole model.Need) float64 {
@@ -488,151 +526,6 @@
 
 func tenth(x float64) float64 { return math.Round(10*x) / 10 }
 
-// wake asks for a pass soon. What changes close together is dealt with in one
-// pass, and passes keep a distance that leaves most of the processor to users'
-// and workers' requests however many machines there are.
-func (t *term) wake() {
-	if t.scheduled || t.closed {
-		return
-	}
-	t.scheduled = true
-	wait := max(3*time.Millisecond, t.lastPass+t.passGap()-t.n.env.Now())
-	t.n.env.After(wait, func() {
-		t.scheduled = false
-		if !t.closed {
-			t.pass()
-		}
-	})
-}
-
-// perMachine is what a pass takes of a whole core for each machine, in a bad
-// case, times five: passes then take no more than a fifth of the share.
-const perMachine = 40 * time.Microsecond
-
-func (t *term) passGap() time.Duration {
-	share := t.n.set.Facts.Limits.CPUShare
-	if share <= 0 || share > 1 {
-		share = 1
-	}
-	return min(time.Second, time.Duration(float64(len(t.led.Sorted()))*float64(perMachine)/share))
-}
-
-const (
-	rentEvery = time.Second
-	// Stopping other work for a job that waits is looked at anew this often.
-	stopEvery = 500 * time.Millisecond
-)
-
-// pass places what waits and rents what is missing.
-func (t *term) pass() {
-	now := t.n.env.Now()
-	t.lastPass = now
-	if !t.n.elect.Sure() {
-		return // without the state service nothing is started
-	}
-	if !t.settled() {
-		return
-	}
-	claims := placement.NewClaims(t.led, t.aims, now)
-	for _, j := range t.led.Order() {
-		t.fleet.Arrived(j, t.aims.Prompt(j), claims[j] == placement.Promised)
-	}
-	v := &placement.View{Now: now, Silent: 3 * seconds(t.n.set.Facts.Workers.ReportS), Holds: t.holds, Aims: t.aims}
-	v.Machines = placement.Candidates(t.led, v)
-	placement.Release(v)
-	order := placement.Order(t.led, v, claims)
-	t.queues.Refresh(t.led, order, now)
-	v.Units = t.queues
-	stops := placement.NewStops(t.led, v, claims)
-	for _, j := range order {
-		if t.aims.Prompt(j) && j.Spec.Kind == model.Gang && !j.Faulty() && t.mayStopFor(j, t.cleared) {
-			t.evict(j, stops.Clear(j))
-		}
-	}
-	t.left = placement.Run(t.led, v, order, func(j *ledger.Job) {
-		if (t.aims.Prompt(j) || claims[j] != placement.NoClaim) && t.mayStopFor(j, t.preempted) {
-			t.evict(j, stops.Preempt(j, false))
-		}
-	})
-	t.consolidate(v)
-	if now-t.lastRent >= rentEvery {
-		t.lastRent = now
-		t.fleet.Rent(t.left, v, t.aims, claims)
-		for _, looked := range []map[*ledger.Job]time.Duration{t.cleared, t.preempted} {
-			for j := range looked {
-				if !placement.Waiting(j) {
-					delete(looked, j)
-				}
-			}
-		}
-	}
-}
-
-func (t *term) holdsFor(j *ledger.Job) bool {
-	for _, h := range t.holds {
-		if h.Job == j {
-			return true
-		}
-	}
-	return false
-}
-
-// mayStopFor reports whether it is time to look for something to stop for the
-// job, and notes that it was done.
-func (t *term) mayStopFor(j *ledger.Job, looked map[*ledger.Job]time.Duration) bool {
-	now := t.n.env.Now()
-	if at, ok := looked[j]; ok && now-at < stopEvery || t.holdsFor(j) {
-		return false
-	}
-	looked[j] = now
-	return true
-}
-
-func (t *term) evict(j *ledger.Job, stop []*ledger.Placement) {
-	for _, p := range stop {
-		t.n.env.Log().Info("preempting", "job", p.Job.Spec.ID, "task", p.Task, "machine", p.M.Name, "for", j.Spec.ID)
-		t.workers.Evict(p, "made room for "+j.Spec.ID)
-	}
-}
-
-const (
-	// consolidateEvery is the period of consolidation.
-	consolidateEvery = 30 * time.Second
-	// Room emptied for a job, and room at the targets of moves, is kept so long.
-	moveFor = 30 * time.Second
-)
-
-// consolidate empties a machine for a waiting job when there is room enough,
-// but not on one machine. All moves of the machine start together, and what
-// falls free is kept for the job, since a burst would fill it otherwise.
-func (t *term) consolidate(v *placement.View) {
-	if v.Now-t.lastMoves < consolidateEvery || v.Now-t.lastLook < stopEvery || len(t.left) == 0 {
-		return
-	}
-	t.lastLook = v.Now
-	ms := v.Machines
-	j := consolidate.Triggered(t.led, v, ms, t.left)
-	if j == nil {
-		return
-	}
-	t.lastMoves = v.Now
-	plan := consolidate.Run(t.led, v, ms, j, consolidate.Default(), t.n.env.Rand())
-	if plan == nil {
-		t.n.env.Log().Info("consolidation finds no machine to empty", "for", j.Spec.ID, "machines", len(ms))
-		return
-	}
-	t.n.env.Log().Info("consolidating", "for", j.Spec.ID, "machine", plan.Empty.Name, "moves", len(plan.Moves))
-	t.holds[plan.Empty] = &placement.Hold{Job: j, Until: v.Now + moveFor}
-	for _, mv := range plan.Moves {
-		task := &mv.P.Job.Tasks[mv.P.Task]
-		task.Want, task.WantUntil = mv.To, v.Now+moveFor
-		if t.holds[mv.To] == nil {
-			t.holds[mv.To] = &placement.Hold{Job: mv.P.Job, Until: v.Now + moveFor, Move: true}
-		}
-		t.workers.Evict(mv.P, "moved to "+mv.To.Name)
-	}
-}
-
 const (
 	// yieldFor is how long a leader that hears no workers leaves it to others
 	// the first time.
--- a/internal/node/overview.go
+++ b/internal/node/overview.go
@@ -1,8 +1,11 @@
 package node
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"brooklb/internal/fair"
 	"brooklb/internal/model"
 	"brooklb/internal/placement"
 	"brooklb/internal/wire"
@@ -19,10 +22,16 @@
 	if n.store.Synced() {
 		o.StateSilentS = tenth((now - n.store.Contact()).Seconds())
 	}
+	o.Door = &wire.DoorView{Changes: tenth(n.Share()), Wanted: tenth(n.gate.Want(now)), Admitted: tenth(n.gate.Admitted(now)), Waiting: n.gate.Waiting(), Refused: n.gate.Refused}
 	t := n.term
 	if t == nil {
 		return o
 	}
+	o.Door.Ease, o.Door.BehindS = tenth(t.ease), tenth(t.led.Behind())
+	for _, k := range t.shut {
+		o.Door.Shut = append(o.Door.Shut, k[1]+" of "+k[0])
+	}
+	o.Classes = t.classes()
 	o.Leading, o.Token, o.LedS = true, t.token, tenth((now - t.workers.Began()).Seconds())
 	m, j := t.census()
 	o.Machines, o.Jobs = &m, &j
@@ -48,6 +57,30 @@
 	return o
 }
 
+// classes counts the unfinished jobs by class and team.
+func (t *term) classes() []wire.ClassView {
+	at := map[fair.Key]int{}
+	var out []wire.ClassView
+	for _, j := range t.led.Order() {
+		k := fair.Key{Team: j.Spec.Team, Class: j.Spec.Class}
+		i, ok := at[k]
+		if !ok {
+			i = len(out)
+			at[k] = i
+			out = append(out, wire.ClassView{Class: k.Class, Team: k.Team})
+		}
+		c := &out[i]
+		c.Jobs++
+		c.Waiting += j.Idle()
+		c.Placed += j.Placed
+		if t.floored[j] {
+			c.Floor++
+		}
+	}
+	slices.SortStableFunc(out, func(a, b wire.ClassView) int { return cmp.Compare(b.Waiting+b.Placed, a.Waiting+a.Placed) })
+	return out[:min(len(out), longestQueue)]
+}
+
 // census counts the machines, by what they are doing, and the jobs.
 func (t *term) census() (c wire.MachinesView, jobs wire.JobsView) {
 	now := t.n.env.Now()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -32,6 +32,23 @@
 	// Reads is the newest format of job records that its program reads, 0 for
 	// programs that don't say.
 	Reads int `cbor:"7,keyasint,omitempty"`
+	// Gate is the version of the parts (package intake) that its program takes and, as
+	// a leader, hands out; 0: none.
+	Gate int `cbor:"8,keyasint,omitempty"`
+	// Mark is what the leader is to echo.
+	Mark uint64 `cbor:"9,keyasint,omitempty"`
+	// Want is how many thousandths of a submission come to it a second.
+	Want uint64 `cbor:"10,keyasint,omitempty"`
+	// Applied is the part that it holds, and whose.
+	Applied      uint64 `cbor:"11,keyasint,omitempty"`
+	AppliedToken uint64 `cbor:"12,keyasint,omitempty"`
+	// What a leader hands out: to each node by label, in thousandths of a change a
+	// second, with the number of the issue, and the last mark it had of each.
+	Parts map[string]uint64 `cbor:"13,keyasint,omitempty"`
+	Issue uint64            `cbor:"14,keyasint,omitempty"`
+	Echo  map[string]uint64 `cbor:"15,keyasint,omitempty"`
+	// Shut are teams and classes of which nothing more is taken now.
+	Shut [][2]string `cbor:"16,keyasint,omitempty"`
 }
 
 const (
@@ -58,6 +75,8 @@
 	relaying int
 	// OnLeader hears that a peer leads, and with which token.
 	OnLeader func(token uint64)
+	// OnStatus hears what a peer says.
+	OnStatus func(s *Status)
 }
 
 // New makes the actor; own tells the node's current status.
@@ -113,6 +132,9 @@
 			if s.Leading && s.Token > 0 && a.OnLeader != nil {
 				a.OnLeader(s.Token)
 			}
+			if a.OnStatus != nil {
+				a.OnStatus(&s)
+			}
 			return nil
 		}
 	}
--- a/internal/placement/claims.go
+++ b/internal/placement/claims.go
@@ -18,26 +18,44 @@
 	NoClaim Claim = iota
 	// PassedOn: of the guarantee there is something left for it.
 	PassedOn
+	// Floor: it is within the floor of its class and team (Floors), not within its
+	// team's guarantee; FloorWithin: within both.
+	Floor
+	FloorWithin
 	// Promised: it fits into the guarantee together with the team's earlier
 	// unfinished jobs, and has not begun, or only just.
 	Promised
 )
 
-// Claims are the jobs with a claim on their team's guarantee.
+// Claims are the jobs with a claim on their team's guarantee, or on a floor.
 type Claims map[*ledger.Job]Claim
 
+// Guaranteed reports whether the claim is on a guarantee: room is made for it. A floor
+// by itself takes what falls free; when machines were held for it, too, a gang that
+// waited for units found none (TestLargeRequest).
+func (c Claim) Guaranteed() bool { return c != NoClaim && c != Floor }
+
+// floored reports whether the claim is on a floor.
+func (c Claim) floored() bool { return c == Floor || c == FloorWithin }
+
 // NewClaims divides the guarantees. First come the jobs that fit in together
 // with their team's earlier unfinished jobs, until all their tasks have begun. What
 // is left is passed on to the team's other jobs in the order in which they are
 // placed, as long as they can meet an aim: when the oldest had it, large jobs
 // that were late or about to be held all of a team's guarantee for minutes, and
 // its later jobs waited until they were lost as well (tbilisi fleet, busy: of
-// call-score submitted in the burst 2% met their deadline).
-func NewClaims(l *ledger.Ledger, aims *Aims, now time.Duration) Claims {
+// call-score submitted in the burst 2% met their deadline). Jobs within a floor come
+// first among those, and have a claim of their own where nothing of the guarantee is
+// left: a flood of urgent work starved the class below it (tbilisi fleet, priority
+// flood: 0.37 of call-score done). in are the jobs within a floor.
+func NewClaims(l *ledger.Ledger, aims *Aims, in map[*ledger.Job]bool, now time.Duration) Claims {
 	claims := Claims{}
 	use, claimed := map[*ledger.Team]model.Need{}, map[*ledger.Team]model.Need{}
 	var rest []*ledger.Job
 	need := func(j *ledger.Job) model.Need { return j.Spec.Need.Times(float64(j.Size())) }
+	for j := range in {
+		claims[j] = Floor
+	}
 	for _, j := range l.Order() {
 		t := l.Teams[j.Spec.Team]
 		if t == nil || j.Final != ledger.Open || j.Faulty() || !t.Guarantees(model.Need{}) {
@@ -53,17 +71,23 @@
 				continue
 			}
 		}
-		if !aims.Lost(j, false, now) {
+		if in[j] || !aims.Lost(j, false, now) {
 			rest = append(rest, j)
 		}
 	}
 	slices.SortStableFunc(rest, func(a, b *ledger.Job) int {
+		if in[a] != in[b] {
+			return first(in[a])
+		}
 		return cmp.Or(cmp.Compare(b.Spec.Priority, a.Spec.Priority), cmp.Compare(work(a), work(b)))
 	})
 	for _, j := range rest {
 		t := l.Teams[j.Spec.Team]
 		if u := claimed[t].Add(need(j)); t.Guarantees(u) {
 			claims[j], claimed[t] = PassedOn, u
+			if in[j] {
+				claims[j] = FloorWithin
+			}
 		}
 	}
 	return claims
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -29,6 +29,15 @@
 	return m.Known && m.Heard && !m.Gone && !m.Leaving && !m.Notice && v.Now >= m.NoPlace && v.Now-m.LastHeard <= v.Silent
 }
 
+// Whole is what the machines that can take tasks have together.
+func (v *View) Whole() model.Need {
+	var n model.Need
+	for _, m := range v.Machines {
+		n = n.Add(m.Cap)
+	}
+	return n
+}
+
 // Order lists the open jobs with idle tasks, most urgent first: the larger claim on
 // a team's guarantee (Claim), then priority (the order in which Stops lets work be
 // stopped, too), then jobs that can still meet an aim, then
@@ -55,7 +64,9 @@
 		r.work = work(j)
 		if r.lost {
 			// Being first no longer helps it to anything that was promised.
-			r.claim = NoClaim
+			if !c.floored() {
+				r.claim = NoClaim
+			}
 			waited := max(0, v.Now-j.Since).Seconds()
 			r.work /= 1 + waited/starve.Seconds()
 		}
@@ -248,6 +259,9 @@
 		}
 		if t.NotBefore > v.Now {
 			j.Waits = "waits after a failure"
+			if t.Ousted > 0 {
+				j.Waits = "was stopped for others again and again, waits for their number to fall"
+			}
 			all = false
 			continue
 		}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -69,7 +69,9 @@
 // whatever its priority, to another team's claim. That is an
 // order: if work of high priority beyond its team's guarantee could stop what
 // is within, and the other way round, the two would take turns (tbilisi grown,
-// rough: a task stopped fifty times).
+// rough: a task stopped fifty times). What runs within its class's floor yields only to
+// another team's promise, from beyond its own team's guarantee; a floor by itself
+// stops lower priority only.
 func (st *Stops) mayStop(j *ledger.Job, p *ledger.Placement) bool {
 	if p.Job == j || p.Job.Final != ledger.Open {
 		return false
@@ -79,6 +81,11 @@
 	switch {
 	case other > mine:
 		return false
+	case other.floored() && (mine != Promised || other == FloorWithin || p.Job.Spec.Team == j.Spec.Team):
+		return false
+	case mine == Floor:
+		return lower && other == NoClaim
+	case other == Floor:
 	case p.Job.Spec.Team == j.Spec.Team || other == mine || other != NoClaim:
 		return lower
 	}
--- a/internal/settings/options.go
+++ b/internal/settings/options.go
@@ -19,6 +19,7 @@
 	Rollouts bool
 	Units    bool
 	Declared []units.Declared
+	Sharing  *Sharing
 }
 
 // What a probe does that the file doesn't say.
@@ -45,7 +46,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("options: %s: %s", name, strings.ReplaceAll(err.Error(), "\n", " "))
 	}
-	o := &Options{}
+	o := &Options{Sharing: DefaultSharing()}
 	byName := map[string]*units.Declared{}
 	for _, key := range p.Keys() {
 		v, _ := p.Get(key) // it is one of its keys
@@ -82,6 +83,9 @@
 	case "units.enabled":
 		return flag(&o.Units)
 	}
+	if strings.HasPrefix(key, "floors.") || strings.HasPrefix(key, "weight.") {
+		return o.Sharing.set(key, v)
+	}
 	rest, ok := strings.CutPrefix(key, "units.")
 	if !ok {
 		return fmt.Errorf("no such setting")
--- a/internal/sim/service.go
+++ b/internal/sim/service.go
@@ -133,6 +133,11 @@
 	j := &userJob{id: d.ID, shape: d.Shape, team: d.Team, image: d.Image, yard: d.Yard, urgency: d.Urgency, tasks: d.Tasks, cpus: d.CPUs, gpus: d.GPUs,
 		imageGB: d.ImageGB, samePlace: d.SamePlace, apart: d.Apart, spot: d.Spot, bad: d.Bad, runS: d.RunS, snapshotS: d.SnapshotS, stowS: d.StowS,
 		results: map[int]bool{}, saved: map[int]time.Duration{}, asked: true, Submitted: w.now}
+	lane := d.Class
+	if lane == "" {
+		lane = "c-" + d.Shape
+	}
+	j.class = lane
 	var yard, due any
 	if d.DueS > 0 {
 		due = d.DueS
@@ -155,7 +160,7 @@
 		asks = append(asks, map[string]any{"name": name, "count": d.Units[name]})
 	}
 	j.units = d.Units
-	return j, map[string]any{"units": asks, "ref": d.ID, "lane": "c-" + d.Shape, "crew": d.Team, "shape": d.Shape, "urgency": d.Urgency, "shards": d.Tasks,
+	return j, map[string]any{"units": asks, "ref": d.ID, "lane": lane, "crew": d.Team, "shape": d.Shape, "urgency": d.Urgency, "shards": d.Tasks,
 		"cpus": d.CPUs, "gpus": d.GPUs, "memory_gb": 1.0, "bundle": d.Image, "size_gb": d.ImageGB, "hulls": nil, "yard": yard,
 		"same_place": d.SamePlace, "apart": d.Apart, "loaners": d.Spot, "expect_s": expect, "snapshot_s": d.SnapshotS, "stow_s": d.StowS, "due_s": due}
 }
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -41,6 +41,8 @@
 	GPUs          float64
 	BootS         float64
 	Log           *slog.Logger
+	// NoFloors leaves out the floors of what runs.
+	NoFloors bool
 	// Declared are the counted resources of the operator's file.
 	Declared []units.Declared
 	// Outside has the stand-ins on real sockets; nil: all is simulated. Then Net is
@@ -86,6 +88,12 @@
 	// Ops is the history of what users asked and were told, if Record is set.
 	Record bool
 	Ops    []Op
+	// Front says to which node users go, nil or less than 0: to any. Patience is for
+	// how long they try again, 0: for ever; Turned counts how often they were told to
+	// come back later.
+	Front    func() int
+	Patience time.Duration
+	Turned   int
 	// Taken is what the probe of a resource answers, less than 0: nothing.
 	Taken int
 }
@@ -252,11 +260,27 @@
 	s.up, s.since, s.alarm, s.frozen, s.alive = true, w.now, 0, 0, w.now
 	s.timers = actor.Timers{}
 	s.gen++
-	s.n = node.New(&nodeEnv{s, s.gen}, s.set, node.Options{Rollouts: true, Units: true, Declared: w.cfg.Declared})
+	opt := node.Options{Rollouts: true, Units: true, Declared: w.cfg.Declared, Sharing: settings.DefaultSharing()}
+	if w.cfg.NoFloors {
+		opt.Sharing = nil
+	}
+	s.n = node.New(&nodeEnv{s, s.gen}, s.set, opt)
 	s.n.Start()
 	s.arm()
 }
 
+// Shares is how many changes a second the controllers that are up would make
+// together, each by what it holds.
+func (w *World) Shares() float64 {
+	sum := 0.0
+	for _, s := range w.nodes {
+		if s.up {
+			sum += s.n.Share()
+		}
+	}
+	return sum
+}
+
 // Leader is the index of the node that leads, -1 if none does.
 func (w *World) Leader() int {
 	best, at := -1, uint64(0)
--- a/internal/statestore/store.go
+++ b/internal/statestore/store.go
@@ -54,7 +54,10 @@
 	requests actor.Bucket
 	writes   actor.Bucket
 	leading  bool
-	rps      float64 // this node's share
+	rps      float64      // this node's share
+	door     actor.Bucket // what a leader's door takes in any case
+	// Share is how many changes a second this node may make now; it is asked each time.
+	Share func() float64
 
 	items  map[string]Item
 	graves map[string]uint64 // keys known to be deleted at a revision the watch has not reached
@@ -99,9 +102,14 @@
 	// Shares of the budgets. The leader writes most; what is left is divided
 	// among the others, however many they are.
 	leaderShare   = 0.46
-	leaderWrites  = 0.6
 	followerShare = 0.25 // at most
 	used          = 0.95 // of the budgets, by all together
+	// Of the changes the nodes that don't lead may have so much together.
+	othersWrites = 0.35
+	// A leader's door leaves so much of its bucket to the leader's own work. In any
+	// case it takes what SetDoor says.
+	ownKeep   = 0.75
+	doorBurst = 4
 	// Of a node's own share, what it does for users leaves a reserve for its
 	// lease and its watch, and watches and reads take no more than these.
 	userReserve = 0.15
@@ -119,24 +127,6 @@
 // Config returns the limits in force.
 func (s *Store) Config() Config { return s.cfg }
 
-// SetLeading chooses the share of the budgets: the leader writes most.
-func (s *Store) SetLeading(on bool) {
-	s.leading = on
-	share := func(leader float64) float64 {
-		switch {
-		case s.cfg.Nodes <= 1:
-			return used
-		case on:
-			return leader
-		}
-		return min(followerShare, (used-leader)/float64(s.cfg.Nodes-1))
-	}
-	s.rps = s.cfg.RPS * share(leaderShare)
-	w := s.cfg.WriteRPS * share(leaderWrites)
-	s.requests.SetRate(s.rps, max(4, s.rps))
-	s.writes.SetRate(w, max(float64(s.cfg.TxnOps), w))
-}
-
 // gap is the time between requests of one kind that may take a part of the
 // node's share.
 func (s *Store) gap(part float64, least time.Duration) time.Duration {
@@ -204,7 +194,13 @@
 }
 
 // WriteRoom is how many changes the budget holds now, WriteBurst at most.
-func (s *Store) WriteRoom() float64 { return s.writes.Level(s.env.Now()) }
+func (s *Store) WriteRoom() float64 { return s.level() }
+
+// WriteRate is how many changes a second this node may make now.
+func (s *Store) WriteRate() float64 {
+	s.level()
+	return s.writes.Rate()
+}
 
 // WriteBurst is the most that WriteRoom can be.
 func (s *Store) WriteBurst() float64 { return s.writes.Burst() }
@@ -388,126 +384,17 @@
 	}
 }
 
-// Read brings the current value of a key: the replica's, once the state
-// service has confirmed that it is still current, or else what it answers.
-// done gets ok false when the service can't be asked. Reads that wait are
-// confirmed together in one comparing transaction.
-func (s *Store) Read(key string, done func(it *Item, ok bool)) {
-	if !s.synced || len(s.queue) > 2000 {
-		s.env.After(0, func() { done(nil, false) })
-		return
-	}
-	s.queue = append(s.queue, &read{key: key, done: done})
-	s.pump()
-}
-
-func (s *Store) pump() {
-	if len(s.queue) == 0 || s.reading >= 2 || s.readTimer != nil {
-		return
-	}
-	// What comes within a short while is asked together.
-	if d := s.readAt + s.gap(readShare, readGap) - s.env.Now(); d > 0 && len(s.queue) < 4*s.cfg.TxnOps {
-		s.readTimer = s.env.After(d, func() { s.readTimer = nil; s.pump() })
-		return
-	}
-	s.readAt = s.env.Now()
-	if !s.requests.Take(s.env.Now(), 1, s.reserve()) {
-		q := s.queue
-		s.queue = nil
-		for _, r := range q {
-			r.done(nil, false)
-		}
-		return
-	}
-	most := 4 * s.cfg.TxnOps
-	n := min(len(s.queue), most)
-	batch := append([]*read(nil), s.queue[:n]...)
-	s.queue = append(s.queue[:0], s.queue[n:]...)
-	var t wire.Txn
-	asked := map[string]bool{}
-	for _, r := range batch {
-		if it, ok := s.items[r.key]; ok {
-			c := it
-			r.item = &c
-		}
-		if asked[r.key] {
-			continue
-		}
-		asked[r.key] = true
-		c := wire.Cond{Path: r.key}
-		if r.item != nil {
-			c.Stamp = r.item.Stamp
-		}
-		t.When = append(t.When, c)
-	}
-	s.reading++
-	sent := s.env.Now()
-	s.call("POST", wire.PathCommit, wire.Encode(t), readTimeout, func(a actor.Answer) {
-		s.reading--
-		defer s.pump()
-		if sent < s.woke {
-			a.Err = actor.ErrNoAnswer // true then; others may have told users more since
-		}
-		o, err := wire.DecodeOutcome(a.Body, a.Status == 409)
-		if a.Err != nil || (a.Status != 200 && a.Status != 409) || err != nil {
-			for _, r := range batch {
-				r.done(nil, false)
-			}
-			return
-		}
-		failed := map[string]bool{}
-		for _, k := range o.Failed {
-			failed[k] = true
-		}
-		for _, r := range batch {
-			if a.Status == 409 && failed[r.key] {
-				s.get(r)
-			} else {
-				r.done(r.item, true)
-			}
-		}
-	})
-}
-
-func (s *Store) get(r *read) {
-	s.Get(r.key, func(it *Item, ok bool) { r.done(it, ok) })
-}
-
-// Get reads one key from the state service itself.
-func (s *Store) Get(key string, done func(it *Item, ok bool)) {
-	if !s.requests.Take(s.env.Now(), 1, 0) {
-		s.env.After(0, func() { done(nil, false) })
-		return
-	}
-	sent := s.env.Now()
-	s.call("GET", wire.PathKeys+"/"+key, nil, readTimeout, func(a actor.Answer) {
-		switch {
-		case sent < s.woke:
-			done(nil, false)
-		case a.Err == nil && a.Status == 404 && wire.IsAbsent(a.Body):
-			done(nil, true)
-		case a.Err == nil && a.Status == 200:
-			it, err := wire.DecodeItem(a.Body, key)
-			if err != nil {
-				s.env.Log().Error("bad answer of the state service", "key", key, "err", err)
-				done(nil, false)
-				return
-			}
-			s.put(key, it.Value, it.Stamp)
-			done(&Item{it.Value, it.Stamp}, true)
-		default:
-			done(nil, false)
-		}
-	})
-}
-
 // Commit sends a transaction. own says that it is the leader's work, which may
 // use the reserve. Changes that were made appear in the replica before done.
 func (s *Store) Commit(t wire.Txn, own bool, done func(r Result, epoch uint64, failed []string)) {
 	keep, keepW := 0.0, 0.0
 	if !own {
 		keep = s.reserve()
+		if !s.leading {
+			keepW = 1
+		}
 	}
+	s.level()
 	refuse := func() { s.env.After(0, func() { done(Refused, 0, nil) }) }
 	if !s.requests.Take(s.env.Now(), 1, keep) {
 		refuse()
--- a/internal/wire/overview.go
+++ b/internal/wire/overview.go
@@ -10,10 +10,37 @@
 	Token        uint64        `json:"token,omitempty"`
 	LedS         float64       `json:"led_s,omitempty"`
 	StateSilentS float64       `json:"state_silent_s"` // since the state service's last answer
+	Door         *DoorView     `json:"door,omitempty"`
 	Machines     *MachinesView `json:"machines,omitempty"`
 	Jobs         *JobsView     `json:"jobs,omitempty"`
 	Teams        []TeamView    `json:"teams,omitempty"`
-	Queue        []JobView     `json:"queue,omitempty"` // jobs with waiting tasks, oldest first
+	Classes      []ClassView   `json:"classes,omitempty"` // with unfinished jobs, the most tasks first
+	Queue        []JobView     `json:"queue,omitempty"`   // jobs with waiting tasks, oldest first
+}
+
+// DoorView is what a node takes in; rates are by second.
+type DoorView struct {
+	Changes  float64 `json:"changes"` // of the state service it may make
+	Wanted   float64 `json:"wanted"`  // submissions that come
+	Admitted float64 `json:"admitted"`
+	Waiting  int     `json:"waiting"` // at the door
+	Refused  int     `json:"refused"` // since the process began
+	// Only the leader knows: the part of the limit that is handed out, how many seconds
+	// of its changes wait to be written, and the classes of which nothing is taken.
+	Ease    float64  `json:"ease,omitempty"`
+	BehindS float64  `json:"behind_s"`
+	Shut    []string `json:"shut,omitempty"`
+}
+
+// ClassView is a class of a team: its unfinished jobs, those of them within its floor,
+// and its tasks.
+type ClassView struct {
+	Class   string `json:"class"`
+	Team    string `json:"team"`
+	Jobs    int    `json:"jobs"`
+	Floor   int    `json:"floor"`
+	Waiting int    `json:"waiting_tasks"`
+	Placed  int    `json:"placed_tasks"`
 }
 
 // MachinesView counts machines; the figures with a fraction are whole machines'
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -430,6 +430,13 @@
 			if p.Inherited && p.Session == 0 && (p.Job.Spec.Kind == model.Gang || m.Token < a.token) {
 				continue // decided when the worker has seen our token
 			}
+			if p.Inherited && p.Session == 0 && a.led.Over(p) {
+				// Its end may have been known to the last leader, which gave what it held
+				// to others, but was not written yet: both are in the record, and with both
+				// started more would be in use than there is (TestLicences).
+				a.led.Lost(p, model.CauseLost)
+				continue
+			}
 			p.Session, p.SentAt = m.Session, now
 			out = append(out, model.Order{Op: model.Start, Job: id, Task: p.Task, Attempt: p.Attempt})
 		}
