--- a/cmd/brooklb/main.go
+++ b/cmd/brooklb/main.go
@@ -20,13 +20,23 @@
 type usageError struct{ error }
 
 func main() {
-	err := root().ExecuteContext(context.Background())
+	err := run(root(), os.Args[1:])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "brooklb:", err)
 	}
 	os.Exit(exitStatus(err))
 }
 
+// run executes the command line. A first word that is no command is an error also with
+// --help, for which the library would show the help of the program.
+func run(c *cobra.Command, args []string) error {
+	if cmd, _, err := c.Find(args); err == nil && cmd == c && len(args) > 0 && args[0] != "" && args[0][0] != '-' && args[0] != "help" && args[0] != "completion" {
+		return usageError{fmt.Errorf("unknown command or argument %q", args[0])}
+	}
+	c.SetArgs(args)
+	return c.ExecuteContext(context.Background())
+}
+
 func exitStatus(err error) int {
 	var u usageError
 	var e exitError
--- a/internal/intake/parts.go
+++ b/internal/intake/parts.go
@@ -52,6 +52,7 @@
 	grants []grant // the last is the newest; earlier ones may be in force still
 	want   float64
 	knows  bool // its program takes parts; else it may use its fixed share
+	ours   bool // it said that it holds nothing of earlier leaders
 }
 
 // NewIssuer begins a term. Earlier leaders may have handed out all of the total: it
@@ -66,17 +67,28 @@
 
 func (s *Issuer) base() float64 { return Base(s.total, len(s.nodes)) }
 
-// settled reports whether all that earlier leaders handed out has ended.
-func (s *Issuer) settled(now time.Duration) bool { return now-s.began > lasts }
+// settled reports whether all that earlier leaders handed out has ended: in time, or
+// since all nodes have turned to us.
+func (s *Issuer) settled(now time.Duration) bool {
+	if now-s.began > lasts {
+		return true
+	}
+	for _, d := range s.of {
+		if !d.ours {
+			return false
+		}
+	}
+	return true
+}
 
-// Heard takes in what a node says: that it takes parts, which one it has applied, and
-// how much it would use, a second.
-func (s *Issuer) Heard(node string, applied uint64, want float64) {
+// Heard takes in what a node says: that it takes parts, whether it has turned to us
+// (Holder.Lead), which part it has applied, and how much it would use, a second.
+func (s *Issuer) Heard(node string, ours bool, applied uint64, want float64) {
 	d := s.of[node]
 	if d == nil {
 		return
 	}
-	d.knows, d.want = true, max(0, want)
+	d.knows, d.ours, d.want = true, d.ours || ours, max(0, want)
 	// What came before the part that it has applied is void.
 	for len(d.grants) > 1 && d.grants[0].issue < applied && d.grants[1].issue <= applied {
 		d.grants = d.grants[1:]
@@ -185,10 +197,19 @@
 	return h.nonce | uint64(now.Milliseconds())&(1<<markBits-1)
 }
 
+// Lead hears of a leader. What an earlier one handed out is held no more, and what of it
+// is under way is not taken.
+func (h *Holder) Lead(token uint64) {
+	if token > h.token {
+		h.token, h.issue, h.part, h.until = token, 0, 0, 0
+	}
+}
+
 // Take applies a part that a leader handed out, unless it is older than what is held,
 // or its echo says that it is over.
 func (h *Holder) Take(now time.Duration, token, issue, echo uint64, part float64) {
 	at := time.Duration(echo&(1<<markBits-1)) * time.Millisecond
+	h.Lead(token)
 	if echo == 0 || echo&^uint64(1<<markBits-1) != h.nonce || at > now || now-at >= TTL ||
 		token < h.token || token == h.token && issue < h.issue || !(part >= 0) {
 		return
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -46,7 +46,7 @@
 // leader spends what the others surely don't hold, and only while nobody else can lead.
 func (n *Node) Share() float64 {
 	all, others := n.store.Writes(), n.store.OthersWrites()
-	if others <= 0 {
+	if others <= 0 || len(n.set.Peers) == 0 {
 		return all
 	}
 	now := n.env.Now()
@@ -76,7 +76,7 @@
 			if s.AppliedToken != t.token {
 				applied = 0
 			}
-			t.issuer.Heard(s.Label, applied, float64(s.Want)/1000)
+			t.issuer.Heard(s.Label, s.AppliedToken == t.token, applied, float64(s.Want)/1000)
 		}
 	}
 	if !s.Leading {
@@ -87,6 +87,7 @@
 		return
 	}
 	n.oldLeader = 0
+	n.holder.Lead(s.Token)
 	if part, ok := s.Parts[n.set.Label]; ok {
 		n.holder.Take(now, s.Token, s.Issue, s.Echo[n.set.Label], float64(part)/1000)
 	}
