--- a/internal/sim/flood_test.go
+++ b/internal/sim/flood_test.go
@@ -57,6 +57,15 @@
 		}
 	}, true},
 	{"a node is cut off from the state", 3, nil, func(w *World) { w.Cut(w.NodeName(1), "state", 20*time.Second, true) }, true},
+	{"an upgrade", 3, nil, func(w *World) {
+		// Two of three run the older program until they are restarted, one by one.
+		for i := range 2 {
+			w.after(time.Duration(10*i)*time.Second, func() {
+				delete(w.Older, w.NodeName(i))
+				w.Crash(i, 4*time.Second)
+			})
+		}
+	}, true},
 	{"nodes are cut off from each other", 3, nil, func(w *World) {
 		for i := range w.nodes {
 			for k := range i {
@@ -79,6 +88,9 @@
 				w.Front = func() int { return f.front(w) }
 			}
 			w.Patience = time.Minute
+			if f.name == "an upgrade" {
+				w.Older = map[string]bool{w.NodeName(0): true, w.NodeName(1): true}
+			}
 			const from, to = 30 * time.Second, 70 * time.Second
 			w.steady("flood", 1, 33*time.Millisecond, from, to, func(i int) Job {
 				return Job{Shape: "sweep", Team: "free", Tasks: 3, CPUs: 1, RunS: 5, Spot: true, Urgency: "idle"}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -19,8 +19,11 @@
 	"brooklb/internal/actor"
 	"brooklb/internal/httpx"
 	"brooklb/internal/node"
+	"brooklb/internal/peer"
 	"brooklb/internal/settings"
 	"brooklb/internal/units"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 // Config of a world.
@@ -94,6 +97,9 @@
 	Front    func() int
 	Patience time.Duration
 	Turned   int
+	// Older are the nodes whose program knows nothing of parts: it neither says nor
+	// reads what the field numbers from 8 on say.
+	Older map[string]bool
 	// Taken is what the probe of a resource answers, less than 0: nothing.
 	Taken int
 }
@@ -281,6 +287,24 @@
 	return sum
 }
 
+// withoutParts is a status as an older program says or reads it.
+func withoutParts(b []byte) []byte {
+	var m map[int]any
+	if cbor.Unmarshal(b, &m) != nil {
+		return b
+	}
+	for k := range m {
+		if k >= 8 {
+			delete(m, k)
+		}
+	}
+	out, err := cbor.Marshal(m)
+	if err != nil {
+		panic("sim: " + err.Error())
+	}
+	return out
+}
+
 // Leader is the index of the node that leads, -1 if none does.
 func (w *World) Leader() int {
 	best, at := -1, uint64(0)
@@ -392,13 +416,21 @@
 
 func (s *simNode) hostName() string { return s.host }
 func (s *simNode) reachable() bool  { return s.up }
-func (s *simNode) serve(_, method, path string, body []byte, reply func(int, []byte)) {
+func (s *simNode) serve(from, method, path string, body []byte, reply func(int, []byte)) {
 	gen := s.gen
 	p, q, _ := strings.Cut(path, "?")
+	older := s.w.Older[s.host] || s.w.Older[from]
+	if older && p == peer.Path {
+		body = withoutParts(body)
+	}
 	s.run(gen, func() {
 		s.n.Serve(&httpx.Request{Method: method, Path: p, Query: q, Body: body}, strings.HasPrefix(p, "/peer/"), func(r httpx.Response) {
 			if s.gen == gen {
-				reply(r.Status, append([]byte(nil), r.Body...))
+				b := append([]byte(nil), r.Body...)
+				if older && p == peer.Path {
+					b = withoutParts(b)
+				}
+				reply(r.Status, b)
 			}
 		})
 	})
