--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -243,6 +243,10 @@
 	Attempts uint64
 	// Changes is what was written in this term.
 	Changes Changes
+	// Quiet is the longest time in which starts or ends waited to be written and nothing
+	// was, in this term, seen from Kick to Kick.
+	Quiet            time.Duration
+	written, pending time.Duration // the last write; since when something waits, 0: nothing
 }
 
 type dirtyRef struct {
--- a/internal/ledger/write.go
+++ b/internal/ledger/write.go
@@ -318,6 +318,7 @@
 		}
 	}
 	if r == statestore.OK {
+		l.written = l.env.Now()
 		var started []*Placement
 		for _, f := range fl {
 			l.Changes.count(f)
@@ -430,4 +431,28 @@
 }
 
 // Kick retries what was left over.
-func (l *Ledger) Kick() { l.flush() }
+func (l *Ledger) Kick() {
+	l.flush()
+	now := l.env.Now()
+	switch {
+	case !l.waits():
+		l.pending = 0
+	case l.pending == 0:
+		l.pending = now
+	default:
+		l.Quiet = max(l.Quiet, now-max(l.pending, l.written))
+	}
+}
+
+// waits reports whether a start or an end is to be written.
+func (l *Ledger) waits() bool {
+	if l.flying || len(l.ends) > 0 {
+		return true
+	}
+	for _, d := range l.dirty {
+		if d.job.chunks[d.n].urgent && d.job.Final == Open {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -205,6 +205,15 @@
 // Leading reports whether the node leads, and its token.
 func (n *Node) Leading() (uint64, bool) { return n.elect.Token(), n.term != nil }
 
+// Quiet is the longest time of this node's term in which starts or ends waited to be
+// written and nothing was.
+func (n *Node) Quiet() time.Duration {
+	if n.term == nil {
+		return 0
+	}
+	return n.term.led.Quiet
+}
+
 func (n *Node) status() peer.Status {
 	st := peer.Status{Label: n.set.Label, State: (n.env.Now() - n.store.Contact()).Milliseconds(), Leading: n.term != nil, Workers: n.knocking(), Reads: ledger.UnitsFormat}
 	if n.term != nil {
@@ -512,7 +521,7 @@
 	t.n.env.Log().Info("written in this term", "for_s", tenth((now - t.workers.Began()).Seconds()), "starts", c.Starts, "tasks", c.Tasks, "ends", c.Ends,
 		"marks", c.Marks, "drops", c.Drops)
 	t.n.env.Log().Info("door", "ease", tenth(t.ease), "behind_s", tenth(t.led.Behind()), "others_hold", tenth(t.issuer.Held(now)), "wanted", tenth(t.n.gate.Want(now)),
-		"admitted", tenth(t.n.gate.Admitted(now)), "refused", t.n.gate.Refused, "shut", len(t.shut), "floored", len(t.floored))
+		"admitted", tenth(t.n.gate.Admitted(now)), "refused", t.n.gate.Refused, "shut", len(t.shut), "longest_quiet_s", tenth(t.led.Quiet.Seconds()), "floored", len(t.floored))
 }
 
 func part(n, whole model.Need) float64 {
--- a/internal/sim/flood_test.go
+++ b/internal/sim/flood_test.go
@@ -102,14 +102,20 @@
 				return Job{Shape: "ensemble", Team: "blue", Tasks: 2, CPUs: 8, RunS: 10, Spot: true, Urgency: "high"}
 			})
 			w.At(50*time.Second, func() { f.trouble(w) })
-			most, limit := 0.0, 0.95*30
+			most, limit, quiet := 0.0, 0.95*30, time.Duration(0)
 			for w.now < 240*time.Second {
 				w.Run(w.now + 50*time.Millisecond)
 				most = max(most, w.Shares())
+				if l := w.Leader(); l >= 0 {
+					quiet = max(quiet, w.nodes[l].n.Quiet())
+				}
 			}
 			if most > limit+1e-6 {
 				t.Errorf("the controllers hold up to %.2f changes a second, there are %.2f", most, limit)
 			}
+			if quiet > 3*time.Second && !f.allDown {
+				t.Errorf("starts or ends waited for %v while nothing was written", quiet)
+			}
 			w.noneBroken(t)
 			if u := w.Unfinished(); len(u) > 0 {
 				t.Errorf("%d unfinished: %v", len(u), u[:min(3, len(u))])
@@ -133,7 +139,7 @@
 					t.Errorf("%s jobs were accepted after up to %v", class, d)
 				}
 			}
-			t.Logf("%v; at most %.1f of %.1f changes a second held; %d times told to come back", w.Served(), most, limit, w.Turned)
+			t.Logf("%v; at most %.1f of %.1f changes a second held; %d times told to come back; quiet for %v", w.Served(), most, limit, w.Turned, quiet)
 		})
 	}
 }
