--- a/internal/fleet/rent.go
+++ b/internal/fleet/rent.go
@@ -19,6 +19,9 @@
 // maxRent bounds what one pass asks for.
 const maxRent = 200
 
+// maxLooked bounds how many machines are looked at for all jobs in a pass.
+const maxLooked = 1_000_000
+
 // maxTasks bounds how many tasks of one job a pass looks at.
 const maxTasks = 300
 
@@ -71,8 +74,11 @@
 			s.M.WantedAt = now
 		}
 	}
+	looked := 0
 	for _, j := range left {
-		if total >= maxRent {
+		// Each job looks at all machines: with thousands of them waiting a leader spent
+		// its processor on renting, and stood still for longer than its lease.
+		if looked += len(pr.Slots); total >= maxRent || looked > maxLooked {
 			break
 		}
 		n := a.led.SomeUnits(j, a.wanted(j, use), units)
--- a/internal/settings/sharing.go
+++ b/internal/settings/sharing.go
@@ -25,7 +25,7 @@
 // DefaultSharing serves half of a class's jobs as long as that is possible, and leaves
 // most of the cluster to the order.
 func DefaultSharing() *Sharing {
-	return &Sharing{Most: 0.25, Part: 0.5, Over: 4 * time.Minute}
+	return &Sharing{Most: 0.15, Part: 0.5, Over: 4 * time.Minute}
 }
 
 // Check finds weights of teams that aren't there.
