While writes are behind urgent work is planned still, the rest waits

Cause: a pass was left out whenever a second's worth of starts waited, so that urgent gangs queued behind small jobs' starts after a takeover, although they are written first.

--- a/internal/ledger/write.go
+++ b/internal/ledger/write.go
@@ -154,11 +154,11 @@
 }
 
 // Behind is how many seconds of our changes are waiting to be written: ends of jobs,
-// and placements that may be started once they are.
-func (l *Ledger) Behind() float64 {
+// and placements of the given priority or above that may be started once they are.
+func (l *Ledger) Behind(least model.Priority) float64 {
 	n := len(l.ends)
 	for _, d := range l.dirty {
-		if d.job.chunks[d.n].urgent && d.job.Final == Open {
+		if d.job.chunks[d.n].urgent && d.job.Final == Open && d.job.Spec.Priority >= least {
 			n++
 		}
 	}
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -7,6 +7,7 @@
 
 	"brooklb/internal/fair"
 	"brooklb/internal/intake"
+	"brooklb/internal/model"
 	"brooklb/internal/peer"
 )
 
@@ -130,7 +131,7 @@
 		return
 	}
 	t.divided = now
-	if t.led.Behind() > behindFor {
+	if t.led.Behind(model.Low) > behindFor {
 		t.ease *= easeDown
 	} else {
 		t.ease = min(1, t.ease+easeUp)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -463,7 +463,7 @@
 	if t.closed {
 		return
 	}
-	t.n.store.Relaxed = t.led.Behind() <= 0
+	t.n.store.Relaxed = t.led.Behind(model.Low) <= 0
 	t.divide()
 	t.countUnits()
 	t.led.Kick()
@@ -520,7 +520,7 @@
 	c := &t.led.Changes
 	t.n.env.Log().Info("written in this term", "for_s", tenth((now - t.workers.Began()).Seconds()), "starts", c.Starts, "tasks", c.Tasks, "ends", c.Ends,
 		"marks", c.Marks, "drops", c.Drops)
-	t.n.env.Log().Info("door", "ease", tenth(t.ease), "behind_s", tenth(t.led.Behind()), "others_hold", tenth(t.issuer.Held(now)), "wanted", tenth(t.n.gate.Want(now)),
+	t.n.env.Log().Info("door", "ease", tenth(t.ease), "behind_s", tenth(t.led.Behind(model.Low)), "others_hold", tenth(t.issuer.Held(now)), "wanted", tenth(t.n.gate.Want(now)),
 		"admitted", tenth(t.n.gate.Admitted(now)), "refused", t.n.gate.Refused, "shut", len(t.shut), "longest_quiet_s", tenth(t.led.Quiet.Seconds()), "floored", len(t.floored))
 }
 
--- a/internal/node/overview.go
+++ b/internal/node/overview.go
@@ -27,7 +27,7 @@
 	if t == nil {
 		return o
 	}
-	o.Door.Ease, o.Door.BehindS = tenth(t.ease), tenth(t.led.Behind())
+	o.Door.Ease, o.Door.BehindS = tenth(t.ease), tenth(t.led.Behind(model.Low))
 	for _, k := range t.shut {
 		o.Door.Shut = append(o.Door.Shut, k[1]+" of "+k[0])
 	}
--- a/internal/node/pass.go
+++ b/internal/node/pass.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"brooklb/internal/consolidate"
@@ -55,9 +56,11 @@
 	if !t.settled() {
 		return
 	}
-	if t.led.Behind() > behindFor {
+	if t.led.Behind(model.High) > behindFor {
 		return // what would be planned now could not become durable soon
 	}
+	// Urgent starts are written first: only what would queue behind all others waits.
+	urgentOnly := t.led.Behind(model.Low) > behindFor
 	v := &placement.View{Now: now, Silent: 3 * seconds(t.n.set.Facts.Workers.ReportS), Holds: t.holds, Aims: t.aims}
 	v.Machines = placement.Candidates(t.led, v)
 	if t.floored == nil || now-t.lastFloors >= floorsEvery {
@@ -70,6 +73,9 @@
 	}
 	placement.Release(v)
 	order := placement.Order(t.led, v, claims)
+	if urgentOnly {
+		order = slices.DeleteFunc(order, func(j *ledger.Job) bool { return j.Spec.Priority < model.High })
+	}
 	t.queues.Refresh(t.led, order, now)
 	v.Units = t.queues
 	stops := placement.NewStops(t.led, v, claims)
@@ -83,6 +89,9 @@
 			t.evict(j, stops.Preempt(j, false))
 		}
 	})
+	if urgentOnly {
+		return // what else waits isn't known of this pass
+	}
 	t.consolidate(v)
 	if now-t.lastRent >= rentEvery {
 		t.lastRent = now
