--- a/brooklb.go
+++ b/brooklb.go
@@ -66,8 +66,7 @@
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(s.set.Facts.Limits.MemMB * 0.6 * (1 << 20)))
 	lim := s.set.Facts.Limits
-	// A quarter of the sockets is kept for our own calls.
-	loop := httpx.NewLoop(s.set.Bind, s.set.ClusterListen, lim.Sockets*3/4, hash(s.set.Label), s.log)
+	loop := httpx.NewLoop(s.set.Bind, s.set.ClusterListen, lim.Sockets, hash(s.set.Label), s.log)
 	n := node.New(loop, s.set, s.opt)
 	s.log.Info("starting", "listen", s.set.Bind)
 	return loop.Run(ctx, n, n.Start)
--- a/internal/actor/actor.go
+++ b/internal/actor/actor.go
@@ -157,6 +157,9 @@
 	b.level = min(b.level, burst)
 }
 
+// Drain leaves no more than the given level.
+func (b *Bucket) Drain(to float64) { b.level = min(b.level, to) }
+
 // Take takes n if at least n+keep are there.
 func (b *Bucket) Take(now time.Duration, n, keep float64) bool {
 	b.level = min(b.burst, b.level+b.rate*(now-b.last).Seconds())
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -27,6 +27,8 @@
 	Node  string `json:"node"`
 	Nonce string `json:"nonce"`
 	V     int    `json:"v"`
+	// Permit is the lease that the key is bound to, 0 from programs that don't say.
+	Permit uint64 `json:"permit,omitempty"`
 }
 
 // Actor takes part in the election and, while it leads, proves it.
@@ -54,6 +56,7 @@
 	onLose    func()
 	known     record
 	knownAt   uint64
+	endAt     time.Duration // no earlier process's lease is ended before
 }
 
 // New makes the actor. onLead is called once the replica holds everything up
@@ -93,6 +96,7 @@
 	if a.token == 0 && a.known.Node == "" && a.store.Synced() {
 		a.try()
 	}
+	a.endEarlier()
 }
 
 func (a *Actor) seen(it *statestore.Item) {
@@ -107,6 +111,7 @@
 	if a.token != 0 && (it == nil || it.Stamp != a.token) {
 		a.lose("the leader key has changed")
 	}
+	a.endEarlier()
 	if it == nil && a.token == 0 {
 		a.vacant = a.env.Now()
 		// Spread the candidates so that one round usually decides.
@@ -147,14 +152,10 @@
 			a.trying = false
 			return
 		}
-		a.claim(permit, asked, a.record(), 3)
+		a.claim(permit, asked, wire.Encode(record{Node: a.label, Nonce: a.nonce, V: 1, Permit: permit}), 3)
 	})
 }
 
-func (a *Actor) record() []byte {
-	return wire.Encode(record{Node: a.label, Nonce: a.nonce, V: 1})
-}
-
 func (a *Actor) claim(permit uint64, asked time.Duration, value []byte, tries int) {
 	t := wire.Txn{When: []wire.Cond{{Path: Key}, {Path: RestoreKey}}, Apply: []wire.Change{{Write: Key, Value: value, Permit: permit}}}
 	a.store.Commit(t, true, func(r statestore.Result, epoch uint64, _ []string) {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -177,14 +177,17 @@
 	NoPlace                time.Duration // no new placements before
 	blamed                 map[*Job]bool
 	Ambiguous              map[string]uint64 // starts that may yet arrive: task/attempt -> session
-	Images                 map[string]time.Duration
-	ImageGB                map[string]float64
-	Direct                 int // direct commands under way
-	Ended                  []model.TaskReport
-	Strays                 []model.TaskReport
-	Missing                int
-	Pace                   estimates.Pace
-	Gap                    time.Duration // between the last two reports
+	// Sent has the starts that went straight to the worker in this session and were
+	// answered: copies of them may come still.
+	Sent    map[string]time.Duration
+	Images  map[string]time.Duration
+	ImageGB map[string]float64
+	Direct  int // direct commands under way
+	Ended   []model.TaskReport
+	Strays  []model.TaskReport
+	Missing int
+	Pace    estimates.Pace
+	Gap     time.Duration // between the last two reports
 }
 
 // Team with its use.
@@ -287,7 +290,7 @@
 	m := l.Machines[name]
 	if m == nil {
 		m = &Machine{Name: name, FirstSeen: l.env.Now(), IdleSince: l.env.Now(),
-			Images: map[string]time.Duration{}, ImageGB: map[string]float64{}, Ambiguous: map[string]uint64{}, RentedAt: l.env.Now()}
+			Images: map[string]time.Duration{}, ImageGB: map[string]float64{}, Ambiguous: map[string]uint64{}, Sent: map[string]time.Duration{}, RentedAt: l.env.Now()}
 		if l.Warm != nil {
 			l.Warm(m)
 		}
--- a/internal/ledger/write.go
+++ b/internal/ledger/write.go
@@ -156,7 +156,14 @@
 // Behind is how many seconds of our changes are waiting to be written: ends of jobs,
 // and placements of the given priority or above that may be started once they are.
 func (l *Ledger) Behind(least model.Priority) float64 {
-	return max(0, float64(l.backlog(least))-l.store.WriteRoom()) / max(0.1, l.store.WriteRate())
+	return max(0, float64(l.backlog(least))-max(0, l.spendable())) / max(0.1, l.store.WriteRate())
+}
+
+// spendable is how many changes flush may make now: a few are left to users. Behind has
+// to count the same, or a leader whose bucket held those few called itself not behind,
+// left all that came in to its door, and wrote nothing for 3 s (sim.TestFloods/leader).
+func (l *Ledger) spendable() float64 {
+	return l.store.WriteRoom() - min(userWrites, l.store.WriteBurst()/4)
 }
 
 // backlog counts the ends, and the chunks with starts of the given priority or above,
@@ -181,7 +188,7 @@
 		return
 	}
 	now := l.env.Now()
-	budget := l.store.WriteRoom() - min(userWrites, l.store.WriteBurst()/4)
+	budget := l.spendable()
 	ops := min(l.MaxOps, int(budget))
 	if ops < 1 {
 		l.wait(80 * time.Millisecond)
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -179,6 +179,7 @@
 			w := world(s)
 			w.State.Slow = 50
 			w.Stuck = 700
+			w.Copies = 150
 			if s%2 == 0 {
 				w.Garbage = 60
 			}
--- a/internal/sim/state.go
+++ b/internal/sim/state.go
@@ -31,6 +31,8 @@
 	// Changed counts the changes made.
 	Changed int
 	Asked   map[string]int
+	// OnGrant sees every lease that is given out.
+	OnGrant func(host, id string)
 	keep    int
 }
 
@@ -90,6 +92,15 @@
 	s.w.after(d, s.notify)
 }
 
+// Fill writes so many keys of one value, as if they had been there from the beginning.
+func (s *State) Fill(prefix string, n int, value string) {
+	for i := range n {
+		s.epoch++
+		s.keys[prefix+strconv.Itoa(100000+i)] = &stateKey{value: json.RawMessage(value), stamp: s.epoch}
+	}
+	s.oldest = s.epoch
+}
+
 func (s *State) sweep() {
 	s.w.after(50*time.Millisecond, s.sweep)
 	if s.w.now < s.outageUntil {
@@ -317,6 +328,9 @@
 		s.nextID++
 		ttl := time.Duration(t.TTL * float64(time.Millisecond))
 		s.grants[s.nextID] = &stateGrant{ttl, s.w.now + ttl}
+		if s.OnGrant != nil {
+			s.OnGrant(from, strconv.FormatUint(s.nextID, 10))
+		}
 		reply(200, mustJSON(map[string]any{"permit": s.nextID}))
 	case strings.HasPrefix(p, "/grants/"):
 		id, _ := strconv.ParseUint(strings.TrimSuffix(p[len("/grants/"):], "/renew"), 10, 64)
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -11,7 +11,9 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -83,6 +85,9 @@
 	// Stuck is how seldom (one in so many) a request or an answer is held up
 	// alone for up to two minutes, while others pass; 0: never.
 	Stuck int
+	// Copies is how seldom (one in so many) a request arrives a second time, up to a
+	// minute later, though it was carried out and answered; 0: never.
+	Copies int
 	// OnSend sees every request as it is sent.
 	OnSend func(from string, c actor.Call)
 	// Delay holds a single request up on its way, Lag a single answer.
@@ -170,6 +175,10 @@
 	alarm  int // the event that will run the timers; 0: none
 	alarms int
 	skew   float64
+	// open are the requests that it has not answered, each with what its caller sees
+	// when the process ends.
+	open   map[int]func()
+	opened int
 	// The process stands still until frozen; alive is when it last ran.
 	frozen time.Duration
 	alive  time.Duration
@@ -258,6 +267,10 @@
 	}
 	s.up = false
 	s.gen++
+	for _, k := range slices.Sorted(maps.Keys(s.open)) {
+		w.after(w.latency(), s.open[k]) // its connections are reset
+	}
+	s.open = nil
 	w.after(back, func() { w.boot(i) })
 }
 
@@ -414,6 +427,18 @@
 	return nil
 }
 
+// took notes a request whose caller sees a reset if the process ends before it has
+// answered.
+func (s *simNode) took(reset func()) (answered func()) {
+	if s.open == nil {
+		s.open = map[int]func(){}
+	}
+	s.opened++
+	k := s.opened
+	s.open[k] = reset
+	return func() { delete(s.open, k) }
+}
+
 func (s *simNode) hostName() string { return s.host }
 func (s *simNode) reachable() bool  { return s.up }
 func (s *simNode) serve(from, method, path string, body []byte, reply func(int, []byte)) {
@@ -489,6 +514,14 @@
 	if !connected {
 		return
 	}
+	if w.Copies > 0 && w.rng.IntN(w.Copies) == 0 {
+		w.after(w.secs(0.02, 4)*time.Duration(1+w.rng.IntN(15)), func() {
+			if m, ok := h.(*Machine); ok && (m.gone || w.now < m.hangUntil) || w.cutBetween(from, h.hostName()) != nil || !h.reachable() {
+				return
+			}
+			h.serve(from, c.Method, c.Path, body, func(int, []byte) {})
+		})
+	}
 	var deliver func()
 	deliver = func() {
 		if ct := w.cutBetween(from, h.hostName()); ct != nil {
@@ -509,7 +542,12 @@
 			finish(actor.Answer{Err: actor.ErrNoAnswer})
 			return
 		}
+		answered := func() {}
+		if s, ok := h.(*simNode); ok {
+			answered = s.took(func() { finish(actor.Answer{Err: actor.ErrNoAnswer}) })
+		}
 		h.serve(from, c.Method, c.Path, body, func(status int, answer []byte) {
+			answered()
 			if strings.HasPrefix(from, "n") && w.Garbage > 0 && w.rng.IntN(w.Garbage) == 0 {
 				answer = []byte([]string{``, `{`, `[]`, `null`, `{"epoch":"x"}`, `"text"`, `{"items":7,"news":{},"hosts":[{"ref":" "}],"hulls":null}`}[w.rng.IntN(7)])
 			}
--- a/internal/statestore/store.go
+++ b/internal/statestore/store.go
@@ -118,12 +118,18 @@
 	userReserve = 0.15
 	watchShare  = 0.35
 	readShare   = 0.4
+	// A process begins with this part of a second's requests. One that ends again and
+	// again after some tenths of a second would else take a full burst each time, and
+	// reads of all keys by seven such nodes all that there is.
+	// At least it needs the keys, a watch, and an election.
+	freshPart, freshLeast = 0.25, 8
 )
 
 // New makes a Store; Start begins to fill its replica.
 func New(env actor.Env, cfg Config) *Store {
 	s := &Store{env: env, cfg: cfg, items: map[string]Item{}, graves: map[string]uint64{}, contact: -time.Hour, readAt: -time.Hour}
 	s.SetLeading(false)
+	s.requests.Drain(max(freshLeast, s.rps*freshPart))
 	return s
 }
 
@@ -470,9 +476,16 @@
 	})
 }
 
-// Release ends a lease.
-func (s *Store) Release(permit uint64) {
-	if s.requests.Take(s.env.Now(), 1, 0) {
-		s.call("DELETE", wire.PathGrants+"/"+strconv.FormatUint(permit, 10), nil, readTimeout, func(actor.Answer) {})
+// Release ends a lease, if there is room for the request.
+func (s *Store) Release(permit uint64) { s.End(permit, func(bool) {}) }
+
+// End ends a lease; ok says that it has surely ended.
+func (s *Store) End(permit uint64, done func(ok bool)) {
+	if !s.requests.Take(s.env.Now(), 1, 0) {
+		s.env.After(0, func() { done(false) })
+		return
 	}
+	s.call("DELETE", wire.PathGrants+"/"+strconv.FormatUint(permit, 10), nil, readTimeout, func(a actor.Answer) {
+		done(a.Err == nil && (a.Status == 200 || a.Status == 404))
+	})
 }
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -108,6 +108,7 @@
 	if r.Session > m.Session {
 		// Commands carry the session: what was sent to an earlier one is void.
 		m.Ambiguous = map[string]uint64{}
+		m.Sent = map[string]time.Duration{}
 	}
 	m.Session, m.Seq, m.Token = r.Session, r.Seq, r.Token
 	m.Missing = 0
@@ -399,6 +400,7 @@
 		}
 		for _, t := range m.Ended {
 			if a.mayForget(m, t) {
+				delete(m.Sent, key(t))
 				out = append(out, model.Order{Op: model.Forget, Job: t.Job, Task: t.Task, Attempt: t.Attempt})
 			}
 		}
@@ -447,6 +449,16 @@
 
 func rank(o model.Op) int { return [...]int{2, 1, 0}[o] }
 
+const (
+	// A copy of a start that was carried out and answered may come so late. Until then
+	// the worker keeps what it knows of the attempt, unless it was done (then the result
+	// is kept in any case): one that had forgotten it started it again, beside the next
+	// attempt elsewhere (sim.TestTroubledDays/11 with copies).
+	copiesFor = 5 * time.Minute
+	// More exits than this on one machine don't wait: each report lists them all.
+	mostKept = 64
+)
+
 // mayForget says whether the worker may forget an exited attempt. Its end must
 // be durable, and no copy of its start may be under way: after forgetting it,
 // the worker would execute the copy.
@@ -457,6 +469,9 @@
 	if _, ok := m.Ambiguous[key(t)]; ok {
 		return false
 	}
+	if at, ok := m.Sent[key(t)]; ok && t.Cause != model.CauseDone && a.env.Now()-at < copiesFor && len(m.Ended) <= mostKept {
+		return false
+	}
 	j := a.led.Jobs[t.Job]
 	if j == nil || t.Task >= len(j.Tasks) {
 		return true
@@ -514,6 +529,9 @@
 				for _, o := range out {
 					if o.Op == model.Start {
 						delete(m.Ambiguous, orderKey(o))
+						if ans.Err == nil && ans.Status == 200 {
+							m.Sent[orderKey(o)] = a.env.Now()
+						}
 					}
 				}
 			}
