Renting counts who takes what falls free; jobs that can be in time together go as they are due

A fleet full of short tasks made all that waited seem to start within seconds, so that nothing was rented for it, while urgent work that came meanwhile took each place that fell free; and of a team with more work than its limit only what it may start now was projected, as if the rest did not wait for the same places. Least work first then let the larger half of meter-backfill wait for all smaller jobs that came later.

Change: ends of tasks count for lesser work only as far as work of their priority doesn't take them again (fleet.inflow, placement.Retaken), and not at all for a team whose backlog beyond its limit takes them; among jobs that nothing but aims tells apart, those that can be in time together go in the order in which they are due (placement.pickOnTime). The log names what teams use of their limits.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -60,6 +60,7 @@
 	seen      map[string]bool
 	want      map[string]time.Duration // to be returned: name -> since
 	arrivals  []arrival
+	inflow    inflow
 	counted   map[string]bool
 	boots     *boots
 	// OnChange is called when machines were added or removed.
--- a/internal/fleet/headroom.go
+++ b/internal/fleet/headroom.go
@@ -14,6 +14,7 @@
 		return
 	}
 	a.counted[j.Spec.ID] = true
+	a.inflow.add(j.Since, j.Spec.Priority, a.machines(j.Spec, j.Spec.Tasks)*j.EstimateS())
 	if prompt || within {
 		a.arrivals = append(a.arrivals, arrival{j.Since, a.machines(j.Spec, j.Spec.Tasks), prompt, j.Spec.Priority})
 	}
--- a/internal/fleet/rent.go
+++ b/internal/fleet/rent.go
@@ -34,7 +34,17 @@
 	}
 	now := v.Now
 	byZone := map[string]int{}
-	pr := placement.NewProjection(a.led, v)
+	use, units := map[string]model.Need{}, map[*units.Resource]int{}
+	most := min(len(left), maxLooked/max(1, len(v.Machines)))
+	wants := make([]int, most)
+	over := map[string]float64{}
+	for i, j := range left[:most] {
+		wants[i] = a.wanted(j, use)
+		if n := j.Idle() - wants[i]; n > 0 {
+			over[j.Spec.Team] += a.machines(j.Spec, n) * j.EstimateS()
+		}
+	}
+	pr := placement.NewProjection(a.led, v, a.retaken(), a.queued(over))
 	ready, coming := 0, 0
 	for _, m := range a.led.Sorted() {
 		byZone[m.Zone]++
@@ -66,7 +76,6 @@
 		total++
 		return a.addNew(pr, p)
 	}
-	use, units := map[string]model.Need{}, map[*units.Resource]int{}
 	// A gang's first machines are idle until its last is up: they must not be
 	// returned meanwhile, or it never comes together.
 	wanted := func(s *placement.Slot) {
@@ -75,13 +84,13 @@
 		}
 	}
 	looked := 0
-	for _, j := range left {
+	for i, j := range left[:most] {
 		// Each job looks at all machines: with thousands of them waiting a leader spent
 		// its processor on renting, and stood still for longer than its lease.
 		if looked += len(pr.Slots); total >= maxRent || looked > maxLooked {
 			break
 		}
-		n := a.led.SomeUnits(j, a.wanted(j, use), units)
+		n := a.led.SomeUnits(j, wants[i], units)
 		boot, fits := a.bootTime(j)
 		if j.Spec.Kind == model.Gang {
 			if n == 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -522,6 +522,9 @@
 		"marks", c.Marks, "drops", c.Drops)
 	t.n.env.Log().Info("door", "ease", tenth(t.ease), "behind_s", tenth(t.led.Behind(model.Low)), "others_hold", tenth(t.issuer.Held(now)), "wanted", tenth(t.n.gate.Want(now)),
 		"admitted", tenth(t.n.gate.Admitted(now)), "refused", t.n.gate.Refused, "shut", len(t.shut), "longest_quiet_s", tenth(t.led.Quiet.Seconds()), "floored", len(t.floored))
+	if teams := t.teamsLine(); teams != "" {
+		t.n.env.Log().Info("teams", "use", teams)
+	}
 }
 
 func part(n, whole model.Need) float64 {
--- a/internal/node/overview.go
+++ b/internal/node/overview.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"brooklb/internal/fair"
@@ -81,6 +83,38 @@
 	return out[:min(len(out), longestQueue)]
 }
 
+// mostTeams bounds how many teams the log names.
+const mostTeams = 8
+
+// teamsLine is what the teams nearest to their limits use, for the log: a team that is
+// at its limit waits for itself, and no machine helps it.
+func (t *term) teamsLine() string {
+	type use struct {
+		name       string
+		used, most float64
+		unit       string
+	}
+	var us []use
+	for _, c := range t.n.set.Facts.Teams {
+		u := t.led.Teams[c.Name].Used
+		if c.CPUsMax > 0 {
+			us = append(us, use{c.Name, u.CPUs, c.CPUsMax, "cpus"})
+		}
+		if c.GPUsMax > 0 {
+			us = append(us, use{c.Name, u.GPUs, c.GPUsMax, "gpus"})
+		}
+	}
+	slices.SortStableFunc(us, func(a, b use) int { return cmp.Compare(b.used/b.most, a.used/a.most) })
+	var sb strings.Builder
+	for _, u := range us[:min(len(us), mostTeams)] {
+		if sb.Len() > 0 {
+			sb.WriteString(", ")
+		}
+		fmt.Fprintf(&sb, "%s %.0f of %.0f %s", u.name, u.used, u.most, u.unit)
+	}
+	return sb.String()
+}
+
 // census counts the machines, by what they are doing, and the jobs.
 func (t *term) census() (c wire.MachinesView, jobs wire.JobsView) {
 	now := t.n.env.Now()
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -45,13 +45,8 @@
 // everybody late; the small jobs first keeps the most of them in time. What
 // has waited long counts as smaller, so that nothing starves.
 func Order(l *ledger.Ledger, v *View, claims Claims) []*ledger.Job {
-	type rank struct {
-		j     *ledger.Job
-		claim Claim
-		lost  bool
-		work  float64
-	}
-	var rs []rank
+	var rs []ranked
+	gangs := map[level]bool{}
 	for _, j := range l.Order() {
 		if !Waiting(j) {
 			continue
@@ -60,7 +55,7 @@
 			continue
 		}
 		c := claims[j]
-		r := rank{j: j, claim: c, lost: j.Faulty() || v.Aims != nil && v.Aims.Lost(j, c == Promised, v.Now)}
+		r := ranked{j: j, claim: c, lost: j.Faulty() || v.Aims != nil && v.Aims.Lost(j, c == Promised, v.Now)}
 		r.work = work(j)
 		if r.lost {
 			// Being first no longer helps it to anything that was promised.
@@ -69,16 +64,32 @@
 			}
 			waited := max(0, v.Now-j.Since).Seconds()
 			r.work /= 1 + waited/starve.Seconds()
+		} else if v.Aims != nil {
+			r.due = v.Aims.due(j, c == Promised, v.Now)
+		}
+		if j.Spec.Kind != model.Array {
+			gangs[r.level()] = true
 		}
 		rs = append(rs, r)
 	}
-	slices.SortStableFunc(rs, func(x, y rank) int {
+	if v.Aims != nil {
+		pickOnTime(l, rs, v.Now)
+	}
+	slices.SortStableFunc(rs, func(x, y ranked) int {
 		if c := cmp.Or(cmp.Compare(y.claim, x.claim), cmp.Compare(y.j.Spec.Priority, x.j.Spec.Priority)); c != 0 {
 			return c
 		}
 		if x.lost != y.lost {
 			return first(y.lost)
 		}
+		if !x.lost && v.Aims != nil && !gangs[x.level()] {
+			if x.late != y.late {
+				return first(y.late)
+			}
+			if c := cmp.Compare(x.due, y.due); !x.late && c != 0 {
+				return c
+			}
+		}
 		return cmp.Or(cmp.Compare(x.work, y.work), cmp.Compare(x.j.Since, y.j.Since))
 	})
 	out := make([]*ledger.Job, len(rs))
--- a/internal/placement/project.go
+++ b/internal/placement/project.go
@@ -26,13 +26,42 @@
 type end struct {
 	at   time.Duration
 	need model.Need
+	prio model.Priority
+	// held: what falls free then is taken again by work of that priority that is yet
+	// to come.
+	held bool
+	// queued: its team has more waiting than its limit lets it start, which takes it.
+	queued bool
 }
 
+// counts reports whether what falls free is there for work of the given priority.
+func (e *end) counts(prio model.Priority) bool {
+	return (!e.held || e.prio <= prio) && (!e.queued || e.prio < prio)
+}
+
+// Retaken says which part of what tasks of each priority leave is taken again by
+// work of theirs that is yet to come.
+type Retaken [model.Production + 1]float64
+
 // Projection estimates when waiting work will start if nothing is rented.
 type Projection struct {
 	now   time.Duration
 	types map[string]*model.MachineType
 	Slots []*Slot
+	// Of the ends of each priority, evenly spread, a part is held.
+	retaken Retaken
+	due     Retaken
+	queued  map[string]bool // teams
+}
+
+// held says whether the next end of the priority is one that is taken again.
+func (pr *Projection) held(prio model.Priority) bool {
+	pr.due[prio] += pr.retaken[prio]
+	if pr.due[prio] < 1 {
+		return false
+	}
+	pr.due[prio]--
+	return true
 }
 
 // remaining estimates how long a placed task still takes.
@@ -53,9 +82,17 @@
 	return max(est-ran, ran/4, time.Second)
 }
 
-// NewProjection takes a snapshot of the machines in use.
-func NewProjection(l *ledger.Ledger, v *View) *Projection {
-	pr := &Projection{now: v.Now, types: l.Types}
+// NewProjection takes a snapshot of the machines in use. Of what falls free the work
+// of lower priority that waits gets what retaken leaves: with a fleet full of short
+// tasks, all that waited seemed to start within seconds, no machine was rented for it,
+// and what came meanwhile went first again and again (connect, steady).
+//
+// What a team with more work than its limit lets it start leaves is queued for: only
+// what it may start now is projected, and that must not wait for ends which the rest of
+// its work waits for as well. A team stayed at half of its limit for minutes with
+// thousands of tasks waiting (connect, steady).
+func NewProjection(l *ledger.Ledger, v *View, retaken Retaken, queued map[string]bool) *Projection {
+	pr := &Projection{now: v.Now, types: l.Types, retaken: retaken, queued: queued}
 	n := 0
 	for _, m := range v.Machines {
 		n += len(m.P)
@@ -73,7 +110,8 @@
 			if t != nil && t.FetchGBs > 0 {
 				fetch = p.Job.Spec.ImageGB / t.FetchGBs
 			}
-			ends = append(ends, end{v.Now + remaining(p, v.Now, fetch), p.Job.Spec.Need})
+			prio := p.Job.Spec.Priority
+			ends = append(ends, end{v.Now + remaining(p, v.Now, fetch), p.Job.Spec.Need, prio, pr.held(prio), queued[p.Job.Spec.Team]})
 		}
 		s.ends = ends[k:len(ends):len(ends)]
 		slices.SortFunc(s.ends, func(a, b end) int { return cmp.Compare(a.at, b.at) })
@@ -95,12 +133,16 @@
 }
 
 // earliest is when the need fits on the slot.
-func (s *Slot) earliest(n model.Need) (time.Duration, bool) {
+func (s *Slot) earliest(n model.Need, prio model.Priority) (time.Duration, bool) {
 	if n.Fits(s.free) {
 		return s.at, true
 	}
 	free := s.free
-	for _, e := range s.ends {
+	for i := range s.ends {
+		e := &s.ends[i]
+		if !e.counts(prio) {
+			continue
+		}
 		free = free.Add(e.need)
 		if n.Fits(free) {
 			return max(e.at, s.at), true
@@ -109,17 +151,23 @@
 	return 0, false
 }
 
-// take occupies the slot from a time on, for as long as the job runs.
-func (s *Slot) take(at time.Duration, n model.Need, run time.Duration) {
+// take occupies the slot from a time on, for as long as the job runs. held and queued
+// say who takes what it leaves.
+func (s *Slot) take(at time.Duration, j *ledger.Job, held, queued bool) {
+	n, prio := j.Spec.Need, j.Spec.Priority
 	k := 0
-	for k < len(s.ends) && !n.Fits(s.free) {
-		s.free = s.free.Add(s.ends[k].need)
-		k++
+	for i := range s.ends {
+		if e := s.ends[i]; !n.Fits(s.free) && e.counts(prio) {
+			s.free = s.free.Add(e.need)
+		} else {
+			s.ends[k] = e
+			k++
+		}
 	}
-	s.ends = s.ends[k:]
+	s.ends = s.ends[:k]
 	s.free = s.free.Sub(n)
 	s.at = max(s.at, at)
-	e := end{at + run, n}
+	e := end{at + runs(j), n, prio, held, queued}
 	i := sort.Search(len(s.ends), func(i int) bool { return s.ends[i].at > e.at })
 	s.ends = append(s.ends, end{})
 	copy(s.ends[i+1:], s.ends[i:])
@@ -165,7 +213,7 @@
 	if !s.allows(q.j) {
 		return false
 	}
-	t, ok := s.earliest(q.j.Spec.Need)
+	t, ok := s.earliest(q.j.Spec.Need, q.j.Spec.Priority)
 	if ok {
 		q.h = append(q.h, ready{s, t + q.pr.fetch(q.j, s)})
 	}
@@ -205,9 +253,9 @@
 // Take books a task on the first slot and returns it.
 func (q *Queue) Take() *Slot {
 	r := q.h[0]
-	r.s.take(r.at, q.j.Spec.Need, runs(q.j))
+	r.s.take(r.at, q.j, q.pr.held(q.j.Spec.Priority), q.pr.queued[q.j.Spec.Team])
 	// Of tasks with one port only one fits.
-	if t, ok := r.s.earliest(q.j.Spec.Need); ok && (q.j.Port == 0 || q.j.PerTask) {
+	if t, ok := r.s.earliest(q.j.Spec.Need, q.j.Spec.Priority); ok && (q.j.Port == 0 || q.j.PerTask) {
 		q.h[0].at = t + q.pr.fetch(q.j, r.s)
 		heap.Fix(q, 0)
 	} else {
@@ -231,7 +279,7 @@
 		if !s.allows(j) || (zone != "" && s.Zone != zone) {
 			continue
 		}
-		if t, ok := s.earliest(j.Spec.Need); ok {
+		if t, ok := s.earliest(j.Spec.Need, j.Spec.Priority); ok {
 			cs = append(cs, ready{s, t + pr.fetch(j, s)})
 		}
 	}
@@ -259,7 +307,7 @@
 		if !s.allows(j) {
 			continue
 		}
-		if t, ok := s.earliest(j.Spec.Need); ok && t+pr.fetch(j, s) <= by {
+		if t, ok := s.earliest(j.Spec.Need, j.Spec.Priority); ok && t+pr.fetch(j, s) <= by {
 			out[s.Zone]++
 		}
 	}
@@ -269,6 +317,6 @@
 // Take books what Find found.
 func (pr *Projection) Take(j *ledger.Job, at time.Duration, where []*Slot) {
 	for _, s := range where {
-		s.take(at, j.Spec.Need, runs(j))
+		s.take(at, j, pr.held(j.Spec.Priority), pr.queued[j.Spec.Team])
 	}
 }
