At the door the smallest of a class go in first where more comes than can be taken

Change: a full queue gives up a larger job for a smaller one; one place is kept for a job of any size, whose turn comes one time in eight (intake.Gate).

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -238,7 +238,7 @@
 		a.create(s, t, nonce, 4, reply)
 		return
 	}
-	a.Gate.Offer(a.env.Now(), fair.Key{Team: s.Team, Class: s.Class}, func() { a.create(s, t, nonce, 4, reply) }, func(after int) {
+	a.Gate.Offer(a.env.Now(), fair.Key{Team: s.Team, Class: s.Class}, s.Work(), func() { a.create(s, t, nonce, 4, reply) }, func(after int) {
 		reply(answer.Refuse(429, after, "more jobs of class %q of team %q come than can be taken, come back in %d s", s.Class, s.Team, after))
 	})
 	if a.Gate.Waiting() > 0 && !a.pumping {
--- a/internal/fleet/rent.go
+++ b/internal/fleet/rent.go
@@ -22,9 +22,9 @@
 const (
 	// A look at a machine for a job takes about so much of a whole core, and all of them
 	// in a pass, which comes once a second, this part of the share at most: with 1,500
-	// jobs waiting for 1,818 machines a leader spent two thirds of a core where it had a
-	// quarter, stood still, and lost its lease (lumiar fleet, half as many machines again,
-	// a hundred times the submissions).
+	// jobs waiting for 1,818 machines passes and renting used up a leader's processor
+	// for seconds, it stood still, and lost its lease (lumiar fleet, half as many machines
+	// again, a hundred times the submissions).
 	perLook  = 100 * time.Nanosecond
 	lookPart = 0.2
 )
--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -27,6 +27,9 @@
 	longestAfter = 30 * time.Second
 	// rateOver is the time over which rates are averaged.
 	rateOver = 3 * time.Second
+	// Where more of a class comes than can be taken, its smallest go in first: as many as
+	// can be are served. One turn in so many is for one of any size, which keeps its place.
+	anyEvery = 8
 	// others is the class of what isn't told apart; no class has this name.
 	others = "\x00others"
 )
@@ -49,6 +52,8 @@
 
 type entry struct {
 	at   time.Duration
+	size float64 // of its work
+	any  bool    // keeps its place, whatever its size
 	run  func()
 	late func(after int)
 }
@@ -135,9 +140,10 @@
 	return c
 }
 
-// Offer brings a submission of a team that exists. One of the two functions is called:
-// run, now or later, when it is let in, or late with when to come back, in seconds.
-func (g *Gate) Offer(now time.Duration, k fair.Key, run func(), late func(after int)) {
+// Offer brings a submission of a team that exists, with how much work it asks for. One
+// of the two functions is called: run, now or later, when it is let in, or late with
+// when to come back, in seconds.
+func (g *Gate) Offer(now time.Duration, k fair.Key, size float64, run func(), late func(after int)) {
 	c := g.class(k, now)
 	g.in.add(now)
 	if g.Shut[k] {
@@ -149,8 +155,13 @@
 		return
 	}
 	if g.waiting >= mostWaiting || len(c.queue) >= max(credit, int(longestWait/g.pause(c, now))) {
-		g.refuse(now, c, late)
-		return
+		// One that is larger comes back in its place.
+		i := c.largest()
+		if i < 0 || c.anyOne() >= 0 && c.queue[i].size <= size {
+			g.refuse(now, c, late)
+			return
+		}
+		g.refuse(now, c, g.take(c, i).late)
 	}
 	if len(c.queue) == 0 {
 		if c.team.waiting == 0 {
@@ -158,7 +169,7 @@
 		}
 		c.virtual = max(c.virtual, c.team.clock-credit)
 	}
-	c.queue = append(c.queue, entry{now, run, late})
+	c.queue = append(c.queue, entry{now, size, c.anyOne() < 0, run, late})
 	c.team.waiting++
 	g.waiting++
 }
@@ -208,15 +219,14 @@
 func (g *Gate) Pump(now time.Duration) bool {
 	for g.waiting > 0 {
 		c := g.next()
-		late := now-c.queue[0].at >= longestWait
-		if !late && !g.Room() {
-			break
-		}
-		e := g.pop(c)
-		if late {
-			g.refuse(now, c, e.late)
+		if now-c.queue[0].at >= longestWait {
+			g.refuse(now, c, g.take(c, 0).late)
 			continue
 		}
+		if !g.Room() {
+			break
+		}
+		e := g.take(c, g.turn(c))
 		g.clock, c.team.clock = max(g.clock, c.team.virtual), max(c.team.clock, c.virtual)
 		c.team.virtual += 1 / c.team.weight
 		c.virtual++
@@ -226,10 +236,40 @@
 	return g.waiting > 0
 }
 
-// pop takes the first one off a class's queue.
-func (g *Gate) pop(c *class) entry {
-	e := c.queue[0]
-	c.queue = c.queue[1:]
+// turn is whose turn it is in the class: the smallest's, now and then that of any size.
+func (g *Gate) turn(c *class) int {
+	if i := c.anyOne(); i >= 0 && g.rng.IntN(anyEvery) == 0 {
+		return i
+	}
+	best := 0
+	for i := range c.queue {
+		if c.queue[i].size < c.queue[best].size {
+			best = i
+		}
+	}
+	return best
+}
+
+// anyOne is the one that keeps its place whatever its size, -1 if there is none.
+func (c *class) anyOne() int {
+	return slices.IndexFunc(c.queue, func(e entry) bool { return e.any })
+}
+
+// largest is the largest one of the others, -1 if there is none.
+func (c *class) largest() int {
+	best := -1
+	for i := range c.queue {
+		if !c.queue[i].any && (best < 0 || c.queue[i].size > c.queue[best].size) {
+			best = i
+		}
+	}
+	return best
+}
+
+// take takes one out of a class's queue, in which the oldest comes first.
+func (g *Gate) take(c *class, i int) entry {
+	e := c.queue[i]
+	c.queue = slices.Delete(c.queue, i, i+1)
 	c.team.waiting--
 	g.waiting--
 	return e
@@ -240,7 +280,7 @@
 	for _, t := range g.order {
 		for _, c := range t.list {
 			for len(c.queue) > 0 && now-c.queue[0].at >= least {
-				g.refuse(now, c, g.pop(c).late)
+				g.refuse(now, c, g.take(c, 0).late)
 			}
 		}
 	}
--- a/internal/intake/gate_test.go
+++ b/internal/intake/gate_test.go
@@ -64,7 +64,7 @@
 		d.coming = slices.Delete(d.coming, 0, n)
 		for _, v := range due {
 			d.tries++
-			d.g.Offer(d.now, v.k, func() {
+			d.g.Offer(d.now, v.k, 1, func() {
 				d.taken[v.k]++
 				d.waited[v.k] = max(d.waited[v.k], d.now-v.first)
 			}, func(after int) {
@@ -152,6 +152,40 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		now += time.Millisecond
-		g.Offer(now, fair.Key{Team: "a", Class: "x"}, func() {}, func(int) {})
+		g.Offer(now, fair.Key{Team: "a", Class: "x"}, 1, func() {}, func(int) {})
+	}
+}
+
+// TestSmallestGoIn guards against a flood of one class in which the few that can be taken
+// are any, large ones among them, so that less than half of what could be served is: of
+// those that come the smallest go in, and of the large ones some.
+func TestSmallestGoIn(t *testing.T) {
+	r := rand.New(rand.NewPCG(3, 4))
+	now, tokens := time.Duration(0), 0.0
+	g := NewGate(r, nil)
+	g.Rate = func() float64 { return 10 }
+	g.Room = func() bool {
+		if tokens < 1 {
+			return false
+		}
+		tokens--
+		return true
+	}
+	came, in := [4]int{}, [4]int{}
+	for range 60 * 50 {
+		now += 20 * time.Millisecond
+		tokens = min(3, tokens+0.2)
+		for range r.IntN(3) { // 50 a second, 10 go in
+			size := r.Float64()
+			came[int(4*size)]++
+			g.Offer(now, fair.Key{Team: "a", Class: "x"}, size, func() { in[int(4*size)]++ }, func(int) {})
+		}
+		g.Pump(now)
+	}
+	if in[0] < came[0]/2 || in[3] == 0 || in[3] > in[0]/6 {
+		t.Errorf("of %v by size %v went in", came, in)
+	}
+	if all := in[0] + in[1] + in[2] + in[3]; all < 570 || all > 610 {
+		t.Errorf("%d went in, there is room for 600", all)
 	}
 }
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -66,6 +66,11 @@
 	Units       []UnitAsk
 }
 
+// Work is how much the job takes, in its owner's estimate: machine room times seconds.
+func (s *Spec) Work() float64 {
+	return float64(s.Tasks) * max(s.Need.CPUs, s.Need.GPUs, 1) * max(1, s.EstimateS)
+}
+
 // UnitAsk is how many units of a counted resource a job asks for.
 type UnitAsk struct {
 	Name   string
--- a/internal/sim/restart_test.go
+++ b/internal/sim/restart_test.go
@@ -161,3 +161,28 @@
 	}
 	return 0
 }
+
+// TestKeyOfAnEarlierProgram has a leader key that a process of the same label left, by a
+// program that wrote no lease into it and by ours: the one is waited for, the other ended.
+func TestKeyOfAnEarlierProgram(t *testing.T) {
+	for _, c := range []struct {
+		value       string
+		least, most time.Duration
+	}{
+		{`{"node":"n0","nonce":"n0-1","v":1}`, 2900 * time.Millisecond, 4500 * time.Millisecond},
+		{`{"node":"n0","nonce":"n0-1","v":1,"permit":99}`, 0, 1500 * time.Millisecond},
+		{`{"node":"elsewhere","nonce":"n0-1","v":1,"permit":99}`, 2900 * time.Millisecond, 4500 * time.Millisecond},
+	} {
+		w := world(78)
+		w.State.grants[99] = &stateGrant{ttl: 3 * time.Second, ends: 3 * time.Second}
+		w.State.epoch++
+		w.State.keys["b/leader"] = &stateKey{value: []byte(c.value), stamp: w.State.epoch, grant: 99}
+		w.tookOver(t)
+		for w.Leader() < 0 && w.now < 10*time.Second {
+			w.Run(w.now + 10*time.Millisecond)
+		}
+		if w.now < c.least || w.now > c.most {
+			t.Errorf("%s: the first leader came after %v", c.value, w.now)
+		}
+	}
+}
