A job that runs well elsewhere is not at fault when it fails on several machines

Change: at fault is a job only if its tasks failed on more machines than the rest of it runs on (ledger.Faulty).

--- a/internal/ledger/fault.go
+++ b/internal/ledger/fault.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"brooklb/internal/model"
 )
 
 // faults is what was seen of a job's tasks that ended with an error. A machine
@@ -11,6 +13,7 @@
 type faults struct {
 	on     map[*Machine]bool // machines that tasks failed on since one was done
 	count  int               // in all
+	well   int               // tasks that ran elsewhere when the last one failed
 	trials int               // in vain since it was seen to be the job's fault
 	next   time.Duration     // the next trial
 }
@@ -26,7 +29,10 @@
 // Faulty reports whether the job itself seems to be at fault. It is then tried
 // again with growing pauses and without an end, in case that circumstances mend
 // it, but has no claim on anything: nothing is rented, stopped or kept for it.
-func (j *Job) Faulty() bool { return len(j.faults.on) >= faultMachines }
+// A job with a mistake fails everywhere: one of which more tasks run still than machines
+// failed is well, and landed on faulty machines. Wide arrays of short tasks do, on several
+// at once and before any task is done (connect, inc-9386: 36 jobs held up for nothing).
+func (j *Job) Faulty() bool { return len(j.faults.on) >= max(faultMachines, j.faults.well+1) }
 
 // Trial reports whether a job at fault may be tried now: one task of an array,
 // the whole of a gang.
@@ -47,6 +53,12 @@
 	}
 	f.count++
 	f.on[m] = true
+	f.well = 0
+	for i := range j.Tasks {
+		if p := j.Tasks[i].P; p != nil && p.M != m && p.Phase == model.Running && !f.on[p.M] {
+			f.well++
+		}
+	}
 	if !j.Faulty() {
 		m.Blame(j)
 		return
@@ -72,7 +84,7 @@
 	if j.Faulty() {
 		l.env.Log().Info("job runs after all", "job", j.Spec.ID, "failures", j.faults.count)
 	}
-	j.faults.on, j.faults.trials = nil, 0
+	j.faults.on, j.faults.well, j.faults.trials = nil, 0, 0
 }
 
 // Fault tells a user why a job that fails everywhere is tried seldom; "" for others.
