One piece of code for the longest boot, a pool's idle connections, and a task's size

Found on reading the change again: inflow had headroom's loop over boot times, closing a connection was taken out of its pool in two places, and work repeated size.

--- a/internal/fleet/headroom.go
+++ b/internal/fleet/headroom.go
@@ -54,6 +54,15 @@
 	leastSpan = 30 * time.Second
 )
 
+// longestBoot is the longest nominal boot of all types, in seconds.
+func (a *Actor) longestBoot() float64 {
+	boot := 0.0
+	for _, t := range a.led.Types {
+		boot = max(boot, t.BootS)
+	}
+	return boot
+}
+
 // headroom is how many idle machines to keep for work that is to start at
 // once. Machines whose tasks may be stopped for it are as good as idle.
 func (a *Actor) headroom() int {
@@ -76,10 +85,7 @@
 		}
 	}
 	a.arrivals = a.arrivals[:k]
-	boot := 0.0
-	for _, t := range a.led.Types {
-		boot = max(boot, t.BootS)
-	}
+	boot := a.longestBoot()
 	// They came over this time, and not since this process began: after a crash
 	// of all, three minutes' work once counted as if it had come in half a
 	// minute, and each new leader rented 300 machines too many (lumiar fleet,
--- a/internal/fleet/inflow.go
+++ b/internal/fleet/inflow.go
@@ -48,10 +48,7 @@
 			busy[j.Spec.Team] += a.machines(j.Spec, j.Placed)
 		}
 	}
-	boot := 0.0
-	for _, t := range a.led.Types {
-		boot = max(boot, t.BootS)
-	}
+	boot := a.longestBoot()
 	out := map[string]bool{}
 	for team, x := range over {
 		out[team] = x > busy[team]*boot
--- a/internal/httpx/dial.go
+++ b/internal/httpx/dial.go
@@ -147,16 +147,21 @@
 	})
 }
 
+// drop takes a connection out of those that wait for a call.
+func (p *pool) drop(d *dialed) {
+	for i, x := range p.idle {
+		if x == d {
+			p.idle = append(p.idle[:i], p.idle[i+1:]...)
+			return
+		}
+	}
+}
+
 // retire closes a connection that nothing is asked on.
 func (d *dialed) retire() {
 	d.gone = true
 	d.idle.Stop()
-	for i, x := range d.p.idle {
-		if x == d {
-			d.p.idle = append(d.p.idle[:i], d.p.idle[i+1:]...)
-			break
-		}
-	}
+	d.p.drop(d)
 	_ = d.c.Close()
 }
 
@@ -164,12 +169,7 @@
 	d.gone = true
 	l.sockets.closed(d)
 	d.idle.Stop()
-	for i, x := range d.p.idle {
-		if x == d {
-			d.p.idle = append(d.p.idle[:i], d.p.idle[i+1:]...)
-			break
-		}
-	}
+	d.p.drop(d)
 	if d.call != nil {
 		if b, err := c.Peek(c.InboundBuffered()); err == nil && len(b) > 0 {
 			if st, body, _, n, err := ParseResponse(b, true); err == nil && n > 0 {
--- a/internal/placement/claims.go
+++ b/internal/placement/claims.go
@@ -95,5 +95,5 @@
 
 // work is how much a job's tasks that are not done take, in its owner's estimate.
 func work(j *ledger.Job) float64 {
-	return float64(j.Size()) * max(j.Spec.Need.CPUs, j.Spec.Need.GPUs, 1) * max(1, j.EstimateS())
+	return float64(j.Size()) * size(j) * max(1, j.EstimateS())
 }
