Simulator: late and reordered writes of one controller, copies of old reports, deaf machines, a leader that is alone; the meeting before all others

Need: the users saw schedulers break rules when two troubles met. The stand-ins lacked these troubles; users had no load balancer with health, and no job was held against 75 s without an answer once troubles are over.

--- a/internal/sim/machine.go
+++ b/internal/sim/machine.go
@@ -24,6 +24,7 @@
 	deleted   bool
 	goneAt    time.Duration
 	hangUntil time.Duration
+	deafUntil time.Duration
 	recallAt  time.Duration
 
 	tenure, tick, baton uint64
@@ -104,13 +105,18 @@
 	if m.gone {
 		return
 	}
-	end := m.leaseFrom + 30*time.Second
+	end := m.leaseFrom + m.w.lease()
 	if m.w.now >= end {
+		for _, r := range m.tasks {
+			if r.onMachine() {
+				m.w.KilledByLease++
+			}
+		}
 		m.kill()
 		m.tenure++
 		m.leaseFrom = m.w.now
 		m.changed()
-		end = m.leaseFrom + 30*time.Second
+		end = m.leaseFrom + m.w.lease()
 	}
 	m.w.after(min(end-m.w.now, time.Second), m.leaseCheck)
 }
@@ -169,6 +175,9 @@
 			if m.hanging() {
 				a = actor.Answer{Err: actor.ErrNoAnswer}
 			}
+			if a.Err == nil && a.Status == 200 {
+				m.w.Answered[m.node]++
+			}
 			if a.Err == nil && a.Status == 421 {
 				var r struct {
 					To string `json:"reports_to"`
--- a/internal/sim/rules.go
+++ b/internal/sim/rules.go
@@ -10,7 +10,7 @@
 // checkStart holds at the moment a start is executed.
 func (w *World) checkStart(r *runner) {
 	j := r.job
-	if j.cancelledAt > 0 && w.now > j.cancelledAt+58*time.Second {
+	if j.cancelledAt > 0 && w.now > j.cancelledAt+w.cancelWithin() {
 		w.broke("ran_cancelled", "%s starts %.1f s after its cancellation", r.key, (w.now - j.cancelledAt).Seconds())
 	}
 	if (j.yard != "" && j.yard != r.m.Zone) || (r.m.Spot && !j.spot) {
@@ -65,6 +65,12 @@
 
 // left is told of every task that ends, whatever the reason.
 func (w *World) left(r *runner, was string) {
+	if at := r.job.cancelledAt; at > 0 && was != "ended" && was != "pulling" {
+		w.LongestCancelled = max(w.LongestCancelled, w.now-at)
+		if w.now > at+w.cancelWithin() {
+			w.broke("ran_cancelled", "%s was on %s until %.1f s after its cancellation", r.key, r.m.Name, (w.now - at).Seconds())
+		}
+	}
 	if r.job.shape == "ensemble" {
 		w.gangOf(r).lost(r)
 	}
@@ -95,7 +101,7 @@
 	w.after(500*time.Millisecond, w.checkCancelled)
 	for _, m := range w.Machines() {
 		for _, r := range m.sorted() {
-			if at := r.job.cancelledAt; at > 0 && r.onMachine() && w.now > at+58*time.Second {
+			if at := r.job.cancelledAt; at > 0 && r.onMachine() && w.now > at+w.cancelWithin() {
 				w.broke("ran_cancelled", "%s is on %s %.1f s after its cancellation", r.key, m.Name, (w.now - at).Seconds())
 			}
 		}
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -13,21 +13,21 @@
 
 // userJob is a job as its user and the truth know it.
 type userJob struct {
-	id, shape, team, image, yard   string
-	urgency, class                 string
-	gaveUp                         bool
-	tasks                          int
-	cpus, gpus, imageGB            float64
-	samePlace, apart, spot, bad    bool
-	runS, snapshotS, stowS         float64
-	asked, accepted                bool
-	cancelAsked                    bool
-	cancelledAt                    time.Duration
-	toldDone                       bool
-	results                        map[int]bool
-	saved                          map[int]time.Duration
-	acceptedAt, lastGood, doneTold time.Duration
-	Submitted                      time.Duration
+	id, shape, team, image, yard string
+	urgency, class               string
+	gaveUp                       bool
+	tasks                        int
+	cpus, gpus, imageGB          float64
+	samePlace, apart, spot, bad  bool
+	runS, snapshotS, stowS       float64
+	asked, accepted              bool
+	cancelAsked                  bool
+	cancelledAt                  time.Duration
+	toldDone                     bool
+	results                      map[int]bool
+	saved                        map[int]time.Duration
+	acceptedAt, doneTold         time.Duration
+	Submitted                    time.Duration
 	// StartedAt is when the first task ran.
 	polls int
 	units map[string]int // of counted resources, for each task
@@ -39,6 +39,10 @@
 	firstBad time.Duration
 	// starts counts the starts of its tasks.
 	starts int
+	// The node its user is connected to; since when no question about it was answered.
+	front                int
+	connected, forgotten bool
+	silentSince          time.Duration
 }
 
 // Mend has a job that was submitted with a mistake run from now on.
@@ -83,7 +87,16 @@
 }
 
 func (w *World) ask(method, path string, body []byte, timeout time.Duration, done func(a actor.Answer)) {
-	w.send("users", actor.Call{Addr: w.pick().addr, Method: method, Path: path, Body: body, Timeout: timeout, Done: done})
+	w.askFor(nil, method, path, body, timeout, done)
+}
+
+// askFor has the job's user ask.
+func (w *World) askFor(j *userJob, method, path string, body []byte, timeout time.Duration, done func(a actor.Answer)) {
+	s := w.pick()
+	if w.Balanced && j != nil {
+		s = w.front(j)
+	}
+	w.send("users", actor.Call{Addr: s.addr, Method: method, Path: path, Body: body, Timeout: timeout, Done: done})
 }
 
 // Submit has a user submit a job now, poll it and perhaps cancel it.
@@ -98,12 +111,12 @@
 
 func (w *World) submit(j *userJob, body []byte, n int) {
 	asked := w.now
-	w.ask("POST", "/v2/runs", body, 5*time.Second, func(a actor.Answer) {
+	w.askFor(j, "POST", "/v2/runs", body, 5*time.Second, func(a actor.Answer) {
 		w.record(j, OpSubmit, asked, a)
 		switch {
 		case a.Err == nil && (a.Status == 201 || a.Status == 200):
 			if !j.accepted {
-				j.accepted, j.acceptedAt, j.lastGood = true, w.now, w.now
+				j.accepted, j.acceptedAt = true, w.now
 				w.after(w.secs(1, 5), func() { w.poll(j) })
 			}
 			w.answer(j, a.Body, asked)
@@ -220,19 +233,22 @@
 	j.polls++
 	w.Polls++
 	asked := w.now
-	w.ask("GET", "/v2/runs/"+j.id, nil, 2*time.Second, func(a actor.Answer) {
+	w.askFor(j, "GET", "/v2/runs/"+j.id, nil, 2*time.Second, func(a actor.Answer) {
 		w.record(j, OpPoll, asked, a)
 		switch {
 		case a.Err == nil && a.Status == 200:
-			j.lastGood = w.now
+			j.silentSince = 0
 			w.answer(j, a.Body, asked)
 		case a.Err == nil && a.Status == 404:
 			w.broke("forgotten", "%s got 404", j.id)
 		case a.Err == nil && a.Status == 503:
 			w.Refused++
+			w.unanswered(j)
+		default:
+			w.unanswered(j)
 		}
 		next := w.secs(4, 6)
-		if j.toldDone || j.cancelledAt > 0 {
+		if (j.toldDone || j.cancelledAt > 0) && j.silentSince == 0 {
 			next = w.secs(30, 90) // they may ask again at any time
 		}
 		w.after(next, func() { w.poll(j) })
@@ -246,7 +262,7 @@
 	}
 	j.cancelAsked = true
 	asked := w.now
-	w.ask("POST", "/v2/runs/"+j.id+"/withdraw", nil, 5*time.Second, func(a actor.Answer) {
+	w.askFor(j, "POST", "/v2/runs/"+j.id+"/withdraw", nil, 5*time.Second, func(a actor.Answer) {
 		w.record(j, OpCancel, asked, a)
 		if a.Err == nil && a.Status == 200 {
 			w.answer(j, a.Body, asked)
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -54,6 +54,9 @@
 	// the part of the loopback network that they have, such as "127.20".
 	Outside Outside
 	Net     string
+	// Lease and Cancel are the workers' lease and the time that a cancellation has, 0: 30 s
+	// and 58 s. ToldLonger is by how much longer the controllers think that time to be.
+	Lease, Cancel, ToldLonger time.Duration
 }
 
 // World is one simulated day.
@@ -105,6 +108,19 @@
 	// Older are the nodes whose program knows nothing of parts: it neither says nor
 	// reads what the field numbers from 8 on say.
 	Older map[string]bool
+	// Answered counts, by node, the reports that were answered with 200 in time.
+	Answered map[int]int
+	// LongestCancelled is the longest that a task was on its machine after its user was
+	// told of the job's cancellation.
+	LongestCancelled time.Duration
+	// KilledByLease counts the tasks that ran when their worker's lease ran out.
+	KilledByLease int
+	late             lateness
+	// Balanced has users go through a load balancer that asks for the nodes' health.
+	Balanced bool
+	balance  []balanced
+	// Calm is when all troubles are over, 0: no job is held against Silence.
+	Calm time.Duration
 	// Taken is what the probe of a resource answers, less than 0: nothing.
 	Taken int
 }
@@ -514,6 +530,9 @@
 	if !connected {
 		return
 	}
+	if w.meddle(from, c, h, body) {
+		return
+	}
 	if w.Copies > 0 && w.rng.IntN(w.Copies) == 0 {
 		w.after(w.secs(0.02, 4)*time.Duration(1+w.rng.IntN(15)), func() {
 			if m, ok := h.(*Machine); ok && (m.gone || w.now < m.hangUntil) || w.cutBetween(from, h.hostName()) != nil || !h.reachable() {
@@ -532,7 +551,7 @@
 			}
 			return
 		}
-		if m, ok := h.(*Machine); ok && m.gone {
+		if m, ok := h.(*Machine); ok && (m.gone || m.deaf()) {
 			return
 		} else if ok && w.now < m.hangUntil {
 			w.after(m.hangUntil-w.now+w.latency(), deliver) // read when it resumes
@@ -561,6 +580,9 @@
 					}
 					return
 				}
+				if m := w.Cloud.machines[from]; m != nil && m.deaf() {
+					return
+				}
 				finish(actor.Answer{Status: status, Body: answer})
 			}
 			late := time.Duration(0)
@@ -597,7 +619,7 @@
 		cfg.CloudRPS = 4
 	}
 	w := &World{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 7)), jobs: map[string]*userJob{}, gangs: map[string]*gang{}, services: map[string]*userService{}, units: map[string][]unitsSet{},
-		cuts: map[[2]string]*cut{}, log: cfg.Log, outside: cfg.Outside}
+		cuts: map[[2]string]*cut{}, Answered: map[int]int{}, log: cfg.Log, outside: cfg.Outside}
 	w.State = newState(w)
 	w.Cloud = newCloud(w)
 	for i := 0; i < cfg.Nodes; i++ {
@@ -612,7 +634,7 @@
 		}
 		f := &s.Facts
 		f.Nodes, f.Zones, f.Teams, f.Objectives = cfg.Nodes, cfg.Zones, cfg.Teams, cfg.Objectives
-		f.Workers.ReportS, f.Workers.LeaseS, f.Workers.GangWaitS, f.Workers.GangPeerS, f.Workers.CancelS = 3, 30, 30, 5, 58
+		f.Workers.ReportS, f.Workers.LeaseS, f.Workers.GangWaitS, f.Workers.GangPeerS, f.Workers.CancelS = 3, w.lease().Seconds(), 30, 5, w.cancelWithin().Seconds()+cfg.ToldLonger.Seconds()
 		f.State.RPS, f.State.WriteRPS, f.State.ValueKB, f.State.TxnOps = cfg.RPS, cfg.WriteRPS, 4, 12
 		f.Cloud.RPS, f.Cloud.ListLagS = cfg.CloudRPS, 4
 		f.Limits.MemMB, f.Limits.Sockets = 125, 1000
