--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -115,7 +115,7 @@
 	LongestCancelled time.Duration
 	// KilledByLease counts the tasks that ran when their worker's lease ran out.
 	KilledByLease int
-	late             lateness
+	late          lateness
 	// Balanced has users go through a load balancer that asks for the nodes' health.
 	Balanced bool
 	balance  []balanced
--- /dev/null
+++ b/internal/workers/greet.go
@@ -0,0 +1,50 @@
+package workers
+
+import (
+	"time"
+
+	"brooklb/internal/actor"
+	"brooklb/internal/wire"
+)
+
+const (
+	// After a change of leader the workers come by themselves, most of them
+	// within this time if their last leader's machine is there to refuse them.
+	greetAfter = 700 * time.Millisecond
+	// Those that still wait for an answer of a leader that stands still or is cut
+	// off come seconds later. They are asked instead, so many at once.
+	greetFor     = 8 * time.Second
+	mostGreeted  = 32
+	greetTimeout = 1500 * time.Millisecond
+)
+
+// Greet asks workers that have not found the new leader for their status, so
+// that starts need not wait until they have.
+func (a *Actor) Greet() {
+	since := a.env.Now() - a.began
+	if a.stopped || since < greetAfter || since > greetFor {
+		return
+	}
+	for _, m := range a.led.Sorted() {
+		if a.asking >= mostGreeted {
+			return
+		}
+		if m.Heard || m.Greeted || m.Addr == "" || m.Leaving || m.Listed != "running" {
+			continue
+		}
+		m.Greeted = true
+		a.asking++
+		a.env.Call(actor.Call{Addr: m.Addr, Method: "GET", Path: wire.PathStatus, Timeout: greetTimeout, Done: func(ans actor.Answer) {
+			a.asking--
+			if a.stopped {
+				return
+			}
+			if ans.Err == nil && ans.Status == 200 && !m.Gone {
+				if r, err := wire.DecodeReport(ans.Body); err == nil && r.Machine == m.Name {
+					a.absorb(r)
+				}
+			}
+			a.Greet()
+		}})
+	}
+}
--- /dev/null
+++ b/internal/workers/orders.go
@@ -0,0 +1,169 @@
+package workers
+
+import (
+	"sort"
+	"time"
+
+	"brooklb/internal/actor"
+	"brooklb/internal/ledger"
+	"brooklb/internal/model"
+	"brooklb/internal/wire"
+)
+
+// orders lists what the worker has to be told. In the answer to a report (all
+// true) everything unfinished is repeated; a direct command has what is new.
+func (a *Actor) orders(m *ledger.Machine, all bool) []model.Order {
+	var out []model.Order
+	now := a.env.Now()
+	if all {
+		for _, t := range m.Strays {
+			out = append(out, model.Order{Op: model.Stop, Job: t.Job, Task: t.Task, Attempt: t.Attempt})
+		}
+		for _, t := range m.Ended {
+			if a.mayForget(m, t) {
+				delete(m.Sent, key(t))
+				out = append(out, model.Order{Op: model.Forget, Job: t.Job, Task: t.Task, Attempt: t.Attempt})
+			}
+		}
+	}
+	for _, p := range m.List() {
+		id := p.Job.Spec.ID
+		switch {
+		case !p.Durable:
+		case p.Stopping:
+			if p.Phase == model.Saving && p.GraceS > 0 {
+				continue
+			}
+			if (all || p.StopSent == 0) && (p.Seen || p.Session != 0) {
+				p.StopSent = now
+				out = append(out, model.Order{Op: model.Stop, Job: id, Task: p.Task, Attempt: p.Attempt, GraceS: p.GraceS})
+			}
+		case a.Quiet != nil && a.Quiet():
+		case p.Again:
+			// Only in an answer, which is executed at once or never: a copy that
+			// came late would make the worker forget what it has done since.
+			if all && m.Token >= a.token {
+				out = append(out, model.Order{Op: model.Forget, Job: id, Task: p.Task, Attempt: p.Attempt},
+					model.Order{Op: model.Start, Job: id, Task: p.Task, Attempt: p.Attempt})
+			}
+		case !p.Seen && (all || p.SentAt == 0):
+			if p.Session != 0 && p.Session != m.Session {
+				continue
+			}
+			if p.Inherited && p.Session == 0 && (p.Job.Spec.Kind == model.Gang || m.Token < a.token) {
+				continue // decided when the worker has seen our token
+			}
+			if p.Inherited && p.Session == 0 && a.led.Over(p) {
+				// Its end may have been known to the last leader, which gave what it held
+				// to others, but was not written yet: both are in the record, and with both
+				// started more would be in use than there is (TestLicences).
+				a.led.Lost(p, model.CauseLost)
+				continue
+			}
+			p.Session, p.SentAt = m.Session, now
+			out = append(out, model.Order{Op: model.Start, Job: id, Task: p.Task, Attempt: p.Attempt})
+		}
+	}
+	sort.SliceStable(out, func(i, j int) bool { return rank(out[i].Op) < rank(out[j].Op) })
+	return out
+}
+
+func rank(o model.Op) int { return [...]int{2, 1, 0}[o] }
+
+const (
+	// A copy of a start that was carried out and answered may come so late. Until then
+	// the worker keeps what it knows of the attempt, unless it was done (then the result
+	// is kept in any case): one that had forgotten it started it again, beside the next
+	// attempt elsewhere (sim.TestTroubledDays/11 with copies).
+	copiesFor = 5 * time.Minute
+	// More exits than this on one machine don't wait: each report lists them all.
+	mostKept = 64
+)
+
+// mayForget says whether the worker may forget an exited attempt. Its end must
+// be durable, and no copy of its start may be under way: after forgetting it,
+// the worker would execute the copy.
+func (a *Actor) mayForget(m *ledger.Machine, t model.TaskReport) bool {
+	if m.Token < a.token {
+		return false
+	}
+	if _, ok := m.Ambiguous[key(t)]; ok {
+		return false
+	}
+	if at, ok := m.Sent[key(t)]; ok && t.Cause != model.CauseDone && a.env.Now()-at < copiesFor && len(m.Ended) <= mostKept {
+		return false
+	}
+	j := a.led.Jobs[t.Job]
+	if j == nil || t.Task >= len(j.Tasks) {
+		return true
+	}
+	if p := j.Tasks[t.Task].P; p != nil && p.M == m && p.Attempt == t.Attempt {
+		return false
+	}
+	return j.Clean(t.Task)
+}
+
+// Push sends what is new straight to the worker.
+func (a *Actor) Push(m *ledger.Machine) {
+	if a.pushing[m] || a.stopped {
+		return
+	}
+	a.pushing[m] = true
+	a.env.After(time.Millisecond, func() {
+		delete(a.pushing, m)
+		if !a.stopped && !m.Gone {
+			a.push(m)
+		}
+	})
+}
+
+func (a *Actor) push(m *ledger.Machine) {
+	now := a.env.Now()
+	if m.Addr == "" || !m.Heard || now-m.LastHeard > 3*a.cfg.Report {
+		return // the answer to its next report will tell it
+	}
+	out := a.orders(m, false)
+	if len(out) == 0 {
+		return
+	}
+	session := m.Session
+	for _, o := range out {
+		if o.Op == model.Start {
+			m.Ambiguous[orderKey(o)] = session
+		}
+	}
+	m.Direct++
+	a.env.Call(actor.Call{Addr: m.Addr, Method: "POST", Path: wire.PathOrders, Timeout: directTimeout,
+		Body: wire.Orders(a.token, session, out), Done: func(ans actor.Answer) {
+			m.Direct--
+			if a.stopped {
+				return
+			}
+			if ans.Err != nil && !ans.Unsent() {
+				// It may be executed minutes later. The repeated start in the
+				// answer to a report makes the copy harmless, as long as the
+				// worker isn't told to forget the attempt.
+				a.env.Log().Debug("no answer to a direct command", "machine", m.Name, "err", ans.Err)
+				return
+			}
+			if m.Session == session {
+				for _, o := range out {
+					if o.Op == model.Start {
+						delete(m.Ambiguous, orderKey(o))
+						if ans.Err == nil && ans.Status == 200 {
+							m.Sent[orderKey(o)] = a.env.Now()
+						}
+					}
+				}
+			}
+			if ans.Err != nil || (ans.Status != 200 && ans.Status != 409) {
+				return
+			}
+			r, err := wire.DecodeReport(ans.Body)
+			if err != nil || r.Machine != m.Name {
+				a.env.Log().Error("bad answer of a worker", "machine", m.Name, "err", err)
+				return
+			}
+			a.absorb(r)
+		}})
+}
--- /dev/null
+++ b/internal/workers/proof.go
@@ -0,0 +1,99 @@
+package workers
+
+import (
+	"time"
+
+	"brooklb/internal/ledger"
+	"brooklb/internal/model"
+)
+
+// unlisted is a placement that the newest report doesn't list.
+func (a *Actor) unlisted(m *ledger.Machine, p *ledger.Placement) {
+	switch {
+	case p.Session != 0 && p.Session < m.Session:
+		// A later session has none of the earlier one's tasks.
+		a.led.Lost(p, model.CauseSession)
+	case p.Session != 0 && p.Seen:
+		a.led.Lost(p, "vanished from the worker's report")
+	case p.Session != 0:
+		// We sent a start that the worker hasn't executed yet.
+		if p.Stopping && !a.mayArrive(m, p) {
+			a.led.Lost(p, model.CauseStopped)
+		}
+	case m.Token >= a.token && (p.Stopping || p.Job.Spec.Kind == model.Gang):
+		// An earlier leader placed it. Its starts carry a lower token than the
+		// worker has seen, so none can be executed any more.
+		a.led.Lost(p, model.CauseLost)
+	}
+}
+
+// mayArrive reports whether a start sent directly may still be executed.
+func (a *Actor) mayArrive(m *ledger.Machine, p *ledger.Placement) bool {
+	_, ok := m.Ambiguous[key(model.TaskReport{Job: p.Job.Spec.ID, Task: p.Task, Attempt: p.Attempt})]
+	return ok
+}
+
+// DeadAt is when everything on a machine is surely gone if it stays silent.
+func (a *Actor) DeadAt(m *ledger.Machine) time.Duration {
+	last := a.began + a.cfg.Hold
+	if m.TokenSeen {
+		// Until it had seen our token an earlier leader may have answered it. It
+		// may have learned the token by an order, before any report of its came
+		// here: all its tasks were once taken for dead at once.
+		last = max(m.LastAnswered, m.TokenAt)
+	} else {
+		last = max(last, m.LastAnswered)
+	}
+	return last + time.Duration(float64(a.cfg.Lease)*drift) + 1500*time.Millisecond
+}
+
+// Stood hears that we stood still for a while, yet lead still: reports that came
+// meanwhile wait to be read, and nobody's silence is his own.
+func (a *Actor) Stood(gap time.Duration) {
+	for _, m := range a.led.Sorted() {
+		if m.Heard {
+			m.LastHeard += gap
+		}
+	}
+}
+
+// Tick looks for machines that have been silent for so long that their
+// workers' leases have surely run out.
+func (a *Actor) Tick() {
+	now := a.env.Now()
+	for _, m := range a.led.Sorted() {
+		if a.stuck(m) && a.OnStuck != nil {
+			a.OnStuck()
+			return
+		}
+		if len(m.P) == 0 || now < a.DeadAt(m) {
+			continue
+		}
+		a.env.Log().Info("machine silent, its lease has run out", "machine", m.Name, "tasks", len(m.P))
+		for _, p := range m.List() {
+			if p.Durable {
+				a.led.Lost(p, model.CauseLost)
+			}
+		}
+	}
+}
+
+// stuckFor is how long a start of unknown fate may hold its room after it was
+// called off.
+const stuckFor = 30 * time.Second
+
+// stuck reports whether the machine's worker is well and doesn't have a task
+// that was called off, but a start sent directly got no answer and may still
+// arrive. It would hold its room for ever; under a higher token it is void.
+func (a *Actor) stuck(m *ledger.Machine) bool {
+	if len(m.Ambiguous) == 0 {
+		return false
+	}
+	now := a.env.Now()
+	for _, p := range m.P {
+		if p.Stopping && !p.Seen && now-p.StopSince > stuckFor && now-m.LastHeard < 2*a.cfg.Report && a.mayArrive(m, p) {
+			return true
+		}
+	}
+	return false
+}
