workers: what a copy of an old report says ends nothing; a start under way in an answer; starts of cancelled jobs in an outage

Causes, found by reading the code for what happens when two troubles meet: - A new leader took the first report of a machine for the newest. A copy of an old one that called an attempt ended (or didn't list it) freed a task that had been started again since under the same number, as gangs' are: it could run twice. Now by our last proof before that, plus the hold. - A leader without a fresh proof still started, in answers to reports, what was recorded. - A notice in a copy drained its machine.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -142,9 +142,13 @@
 	StopWhy   string
 	Vague     bool // when it began to run isn't known closely
 	SentAt    time.Duration
-	Again     bool // has waited in vain for its gang, is to be started again in the same attempt
-	Retries   int  // how often that happened
-	Gone      bool
+	ToldAt    time.Duration // when the start was last in an answer to a report; 0: never
+	// VoidBy is when no start of a cancelled job that may yet arrive may be executed any
+	// more, 0: not cancelled.
+	VoidBy  time.Duration
+	Again   bool // has waited in vain for its gang, is to be started again in the same attempt
+	Retries int  // how often that happened
+	Gone    bool
 }
 
 // Machine is a rented machine as far as known.
@@ -163,20 +167,23 @@
 	LastAnswered           time.Duration // last report that we answered with our token
 	TokenSeen              bool          // the worker has seen our token
 	TokenAt                time.Duration // when we learned that
-	Notice                 bool
-	Leaving                bool // to be returned
-	ReturnSent             bool
-	Gone                   bool
-	Listed                 string
-	ListedAt               time.Duration
-	FirstSeen              time.Duration
-	RentedAt               time.Duration // request, on our steady clock
-	Booting                bool          // rented in this term and not heard yet
-	IdleSince              time.Duration
-	WantedAt               time.Duration // last time waiting work was expected to use it
-	NoPlace                time.Duration // no new placements before
-	blamed                 map[*Job]bool
-	Ambiguous              map[string]uint64 // starts that may yet arrive: task/attempt -> session
+	// Fresh: something that the worker sent in this term was heard. Whatever came before
+	// may be a copy from long ago.
+	Fresh      bool
+	Notice     bool
+	Leaving    bool // to be returned
+	ReturnSent bool
+	Gone       bool
+	Listed     string
+	ListedAt   time.Duration
+	FirstSeen  time.Duration
+	RentedAt   time.Duration // request, on our steady clock
+	Booting    bool          // rented in this term and not heard yet
+	IdleSince  time.Duration
+	WantedAt   time.Duration // last time waiting work was expected to use it
+	NoPlace    time.Duration // no new placements before
+	blamed     map[*Job]bool
+	Ambiguous  map[string]uint64 // starts that may yet arrive: task/attempt -> session
 	// Sent has the starts that went straight to the worker in this session and were
 	// answered: copies of them may come still.
 	Sent    map[string]time.Duration
@@ -239,9 +246,11 @@
 	OnDurable func(p []*Placement)
 	OnChange  func()
 	OnStop    func(p *Placement)
-	OnDeposed func()
-	Warm      func(m *Machine) // fills in what is remembered of a machine's images
-	MaxOps    int
+	// OnCancelled hears of a job that is over while its tasks may run, before they are stopped.
+	OnCancelled func(j *Job)
+	OnDeposed   func()
+	Warm        func(m *Machine) // fills in what is remembered of a machine's images
+	MaxOps      int
 	// Attempts is what a restored cluster adds to recorded attempts below it.
 	Attempts uint64
 	// Changes is what was written in this term.
--- a/internal/ledger/load.go
+++ b/internal/ledger/load.go
@@ -70,6 +70,9 @@
 		j.Final = r.Final
 		l.env.Log().Info("job over", "job", id, "phase", r.Final)
 		if !l.loading {
+			if l.OnCancelled != nil {
+				l.OnCancelled(j)
+			}
 			l.abandon(j)
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -406,7 +406,10 @@
 	t.workers = workers.New(n.env, t.led, t.token, workers.Config{Lease: seconds(f.Workers.LeaseS), Hold: n.hold, Report: seconds(f.Workers.ReportS)})
 	t.rollouts.Load()
 	t.workers.OnEnded = t.rollouts.Ended
-	t.workers.Quiet = func() bool { return !t.base.Settled }
+	// Without a fresh proof that we lead, a job may have been cancelled whose start is
+	// recorded: nothing is started then, in no answer either.
+	t.workers.Quiet = func() bool { return !t.base.Settled || !n.elect.Sure() }
+	t.workers.Proven = n.elect.Proven
 	t.workers.OnNewer = func() { n.elect.Deposed(token) }
 	t.workers.OnStuck = func() { n.elect.Resign("a start that was called off may still arrive, a new token makes it void") }
 	t.workers.OnTrust = func(*ledger.Machine) { t.wake() }
--- a/internal/workers/greet.go
+++ b/internal/workers/greet.go
@@ -41,7 +41,7 @@
 			}
 			if ans.Err == nil && ans.Status == 200 && !m.Gone {
 				if r, err := wire.DecodeReport(ans.Body); err == nil && r.Machine == m.Name {
-					a.absorb(r)
+					a.absorb(r, asked)
 				}
 			}
 			a.Greet()
--- a/internal/workers/orders.go
+++ b/internal/workers/orders.go
@@ -61,6 +61,9 @@
 				continue
 			}
 			p.Session, p.SentAt = m.Session, now
+			if all {
+				p.ToldAt = now
+			}
 			out = append(out, model.Order{Op: model.Start, Job: id, Task: p.Task, Attempt: p.Attempt})
 		}
 	}
@@ -164,6 +167,6 @@
 				a.env.Log().Error("bad answer of a worker", "machine", m.Name, "err", err)
 				return
 			}
-			a.absorb(r)
+			a.absorb(r, asked)
 		}})
 }
--- a/internal/workers/proof.go
+++ b/internal/workers/proof.go
@@ -8,7 +8,12 @@
 )
 
 // unlisted is a placement that the newest report doesn't list.
-func (a *Actor) unlisted(m *ledger.Machine, p *ledger.Placement) {
+//
+// The worker waits for the answer to a report for at most 4 s, and reports again only when
+// it has it or has given it up: a start in our last answer was executed before the next
+// report, or never will be. The answer to a command comes beside that, and proves nothing
+// about a start in an answer that may still be on its way.
+func (a *Actor) unlisted(m *ledger.Machine, p *ledger.Placement, came way) {
 	switch {
 	case p.Session != 0 && p.Session < m.Session:
 		// A later session has none of the earlier one's tasks.
@@ -17,7 +22,7 @@
 		a.led.Lost(p, "vanished from the worker's report")
 	case p.Session != 0:
 		// We sent a start that the worker hasn't executed yet.
-		if p.Stopping && !a.mayArrive(m, p) {
+		if p.Stopping && !a.mayArrive(m, p) && (came == unasked || p.ToldAt == 0 || a.env.Now()-p.ToldAt > answerFor) {
 			a.led.Lost(p, model.CauseStopped)
 		}
 	case m.Token >= a.token && (p.Stopping || p.Job.Spec.Kind == model.Gang):
@@ -27,6 +32,9 @@
 	}
 }
 
+// answerFor is longer than a worker waits for the answer to a report.
+const answerFor = 4500 * time.Millisecond
+
 // mayArrive reports whether a start sent directly may still be executed.
 func (a *Actor) mayArrive(m *ledger.Machine, p *ledger.Placement) bool {
 	_, ok := m.Ambiguous[key(model.TaskReport{Job: p.Job.Spec.ID, Task: p.Task, Attempt: p.Attempt})]
@@ -91,9 +99,26 @@
 	}
 	now := a.env.Now()
 	for _, p := range m.P {
-		if p.Stopping && !p.Seen && now-p.StopSince > stuckFor && now-m.LastHeard < 2*a.cfg.Report && a.mayArrive(m, p) {
+		if !p.Stopping || p.Seen || now-m.LastHeard >= 2*a.cfg.Report || !a.mayArrive(m, p) {
+			continue
+		}
+		if now-p.StopSince > stuckFor || p.VoidBy > 0 && now > p.VoidBy {
 			return true
 		}
 	}
 	return false
 }
+
+// voidBy is until when a worker may be answered to whom a start of a job is under way
+// that is found to be cancelled now. The user was told no earlier than our last proof, and
+// a start that arrives later than a lease after that answer finds another session; so the
+// time is that for which a leader without a proof answers (Config.Hold), and the bound the
+// same. Counted from when we heard of the cancellation, in an outage that began meanwhile
+// the start could be executed after cancel_s.
+func (a *Actor) voidBy() time.Duration {
+	proven := a.env.Now()
+	if a.Proven != nil {
+		proven = a.Proven()
+	}
+	return proven + min(stuckFor, a.cfg.Hold)
+}
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -32,7 +32,10 @@
 	OnNewer func()                  // a worker has seen a higher token
 	OnTrust func(m *ledger.Machine) // a machine reports for the first time
 	OnStuck func()                  // only a higher token can settle a start
-	// Quiet reports whether nothing may be started yet, not even what is recorded.
+	// Proven is when it was last certain that nobody had cancelled anything that we don't
+	// know of; nil: always now.
+	Proven func() time.Duration
+	// Quiet reports whether nothing may be started now, not even what is recorded.
 	Quiet func() bool
 	// OnEnded hears of a service's task that ended by itself.
 	OnEnded func(p *ledger.Placement, cause string)
@@ -53,6 +56,14 @@
 		}
 	}
 	led.OnStop = func(p *ledger.Placement) { a.Push(p.M) }
+	led.OnCancelled = func(j *ledger.Job) {
+		by := a.voidBy()
+		for i := range j.Tasks {
+			if p := j.Tasks[i].P; p != nil {
+				p.VoidBy = by
+			}
+		}
+	}
 	return a
 }
 
@@ -77,18 +88,40 @@
 	}
 	m := a.led.Machine(r.Machine)
 	now := a.env.Now()
-	newer := a.absorb(r)
+	if !a.absorb(r, unasked) {
+		// Held up on its way: what it says is older than what we know. A copy of it gets
+		// an answer that nobody hears; a report that was overtaken by the answer to a
+		// command was sent before that answer, which is as far as it renews the lease.
+		// Counted from now, copies kept dead machines' tasks from being started elsewhere.
+		m.LastAnswered = max(m.LastAnswered, m.LastHeard)
+		return nil
+	}
 	m.LastAnswered = now
-	if !newer {
-		// Held up on its way: what it says is older than what we know.
+	if a.stuck(m) && a.OnStuck != nil {
+		// Its lease must not be renewed under this token.
+		a.OnStuck()
 		return nil
 	}
 	return a.orders(m, true)
 }
 
-// absorb takes in a report, however it came. It returns false for one that is
-// not newer than what is known.
-func (a *Actor) absorb(r *model.Report) bool {
+// How a report came: by itself, or as the answer to a command or question of ours.
+type way uint8
+
+const (
+	unasked way = iota
+	asked
+)
+
+// absorb takes in a report. It returns false for one that is not newer than what is
+// known.
+//
+// Until a machine has sent something in this term, which our token in a report shows, or
+// an answer, what comes may be a copy of an old report: what it lists may have ended, and
+// what it calls ended or does not list may have been started since, even as the same
+// attempt (a gang's, placed again). Nothing is concluded from it but that a task is done.
+// The next report, half a second after our first answer, tells.
+func (a *Actor) absorb(r *model.Report, came way) bool {
 	if a.led.Returned[r.Machine] {
 		return false
 	}
@@ -115,8 +148,9 @@
 	if r.Token > a.token && a.OnNewer != nil {
 		a.OnNewer()
 	}
-	notice := r.Notice && !m.Notice
-	m.Notice = r.Notice
+	m.Fresh = m.Fresh || came == asked || r.Token >= a.token
+	notice := m.Fresh && r.Notice && !m.Notice
+	m.Notice = m.Fresh && r.Notice
 	m.Ended, m.Strays = m.Ended[:0], m.Strays[:0]
 	listed := make(map[*ledger.Placement]bool, len(r.Tasks))
 	for _, t := range r.Tasks {
@@ -132,6 +166,9 @@
 			continue
 		}
 		listed[p] = true
+		if t.Phase == model.Exited && !m.Fresh && t.Cause != model.CauseDone {
+			continue
+		}
 		p.Seen, p.Session = true, r.Session
 		if p.Phase != t.Phase {
 			a.env.Log().Debug("task", "job", t.Job, "task", t.Task, "attempt", t.Attempt, "machine", m.Name, "phase", t.Phase.String(), "cause", t.Cause)
@@ -153,9 +190,11 @@
 			p.Again = false
 		}
 	}
-	for _, p := range m.List() {
-		if !listed[p] && p.Durable && !p.Gone {
-			a.unlisted(m, p)
+	if m.Fresh {
+		for _, p := range m.List() {
+			if !listed[p] && p.Durable && !p.Gone {
+				a.unlisted(m, p, came)
+			}
 		}
 	}
 	a.trim(m)
