--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -406,7 +406,8 @@
 		a.store.Commit(t, false, func(r statestore.Result, _ uint64, _ []string) {
 			switch {
 			case r == statestore.OK:
-				a.env.Log().Info("job cancelled", "job", id)
+				_, placed, _ := a.count(id, rec.Chunks())
+				a.env.Log().Info("job cancelled", "job", id, "placed", placed)
 				reply(httpx.Response{Status: 200, Body: wire.Encode(wire.JobState{Ref: id, Phase: wire.JobCancelled})})
 			case (r == statestore.Conflict || r == statestore.Maybe) && tries > 0:
 				// Look again: it may be done, or an earlier copy was applied.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -100,6 +100,10 @@
 	// floored are the jobs that were within a floor in the last pass.
 	floored    map[*ledger.Job]bool
 	lastFloors time.Duration
+	// Since when there is no fresh proof that this node leads, and how many reports were
+	// answered since.
+	unsure   time.Duration
+	unproven int
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
@@ -351,6 +355,9 @@
 		reply(httpx.Response{Status: 503, RetryAfter: 1, Body: wire.Error("not sure to lead")})
 		return
 	}
+	if !n.elect.Sure() {
+		t.unproven++
+	}
 	rep, err := wire.DecodeReport(r.Body)
 	if err != nil {
 		n.env.Log().Error("bad report", "err", err)
@@ -432,6 +439,9 @@
 func (n *Node) lose() {
 	if t := n.term; t != nil {
 		t.closed = true
+		if t.unsure > 0 {
+			n.env.Log().Info("led without a fresh proof until now", "token", t.token, "for_s", tenth((n.env.Now() - t.unsure).Seconds()), "reports_answered", t.unproven)
+		}
 		t.led.Close()
 		t.workers.Close()
 		t.rollouts.Close()
@@ -466,6 +476,7 @@
 	if t.closed {
 		return
 	}
+	t.proof()
 	t.n.store.Relaxed = t.led.Behind(model.Low) <= 0
 	t.divide()
 	t.countUnits()
@@ -477,6 +488,20 @@
 	}
 }
 
+// proof logs when the state service no longer proves that this node leads, and when it does
+// again: meanwhile it starts nothing, and answers workers until its hold is over.
+func (t *term) proof() {
+	now := t.n.env.Now()
+	switch sure := t.n.elect.Sure(); {
+	case !sure && t.unsure == 0:
+		t.unsure = now
+		t.n.env.Log().Info("no fresh proof of leading, nothing is started", "token", t.token, "hold_s", tenth(t.n.hold.Seconds()))
+	case sure && t.unsure > 0:
+		t.n.env.Log().Info("leading is proven again", "token", t.token, "after_s", tenth((now - t.unsure).Seconds()), "reports_answered", t.unproven)
+		t.unsure, t.unproven = 0, 0
+	}
+}
+
 // workersBack logs once how long the workers took to find this node.
 func (t *term) workersBack() {
 	if t.back {
--- a/internal/sim/meetings_test.go
+++ b/internal/sim/meetings_test.go
@@ -1,9 +1,12 @@
 package sim
 
 import (
+	"bytes"
 	"strconv"
 	"testing"
 	"time"
+
+	"brooklb/internal/actor"
 )
 
 // meet makes one of the meetings' troubles begin, for about d.
@@ -99,3 +102,86 @@
 		})
 	}
 }
+
+// TestLeaderAlone: a leader is cut from the state service and from the other controllers,
+// not from workers and users. The next one shows some workers its token, by which the old
+// one learns that it leads no more; without that the workers stayed with it until its hold
+// was over, 24 s, and the next leaders gave way one after the other.
+func TestLeaderAlone(t *testing.T) {
+	for _, nodes := range []int{3, 7} {
+		w := worldOf(Config{Seed: uint64(90 + nodes), Nodes: nodes})
+		w.checkCancelled()
+		w.At(5*time.Second, func() {
+			w.Submit(Job{ID: "j-1", Shape: "sweep", Team: "free", Image: "i", ImageGB: 0.1, Tasks: 20, CPUs: 3, RunS: 200})
+			w.Submit(Job{ID: "j-2", Shape: "sweep", Team: "free", Image: "i", ImageGB: 0.1, Tasks: 8, CPUs: 2, RunS: 4000})
+		})
+		old := -1
+		w.At(60*time.Second, func() {
+			old = w.Leader()
+			w.Alone(old, 60*time.Second, true)
+			w.Front = func() int { return (old + 1) % nodes }
+			w.after(4*time.Second, func() { w.cancel(w.jobs["j-2"]) })
+		})
+		w.Run(68 * time.Second)
+		if _, ok := w.nodes[old].n.Leading(); ok {
+			t.Errorf("%d nodes: the old leader believes that it leads", nodes)
+		}
+		w.Run(72 * time.Second)
+		next := w.Leader()
+		for _, m := range w.Machines() {
+			if m.up && m.node != next {
+				t.Errorf("%d nodes: %s reports to node %d, not to the leader, %d", nodes, m.Name, m.node, next)
+			}
+		}
+		if j := w.jobs["j-2"]; j.cancelledAt == 0 || j.onMachines(w) > 0 {
+			t.Errorf("%d nodes: a job cancelled through another node at %v has %d tasks on machines", nodes, j.cancelledAt, j.onMachines(w))
+		}
+		w.Run(119 * time.Second)
+		if l := w.Leader(); l != next {
+			t.Errorf("%d nodes: the leader has changed once more", nodes)
+		}
+		w.Run(400 * time.Second)
+		for _, b := range w.Broken {
+			t.Error(b)
+		}
+	}
+}
+
+// TestDeafMachines: half of the machines report and hear nothing for longer than three
+// leases, while jobs go on coming. Such a worker tries one node after the other, so that the
+// leader rarely hears it: it counts as silent, and nothing more is placed there. No leader
+// resigns for a start of unknown fate on them, and all jobs are done in the end.
+func TestDeafMachines(t *testing.T) {
+	sent := 0
+	for _, seed := range seeds(t, 6) {
+		w := worldOf(Config{Seed: 950 + seed, Nodes: 3})
+		w.steady("steady", 1, 500*time.Millisecond, 5*time.Second, 200*time.Second, func(int) Job {
+			return Job{Shape: "sweep", Team: "free", Tasks: 1, CPUs: 5, RunS: 5, ImageGB: 0.1, Image: "i"}
+		})
+		w.At(40*time.Second, func() {
+			for i, m := range w.Machines() {
+				if i%2 == 0 {
+					m.Deafen(100 * time.Second)
+				}
+			}
+		})
+		starts := map[string]bool{}
+		w.OnSend = func(_ string, c actor.Call) {
+			if m := w.Cloud.byAddr[c.Addr]; m != nil && m.deaf() && bytes.Contains(c.Body, []byte(`"start"`)) {
+				starts[m.Name+string(c.Body)] = true
+			}
+		}
+		w.Run(40 * time.Second)
+		token := w.leaderToken()
+		w.Run(140 * time.Second)
+		if w.leaderToken() != token {
+			t.Errorf("seed %d: the leader has changed", seed)
+		}
+		sent += len(starts)
+		w.Run(400 * time.Second)
+		w.verdict(t, 250)
+	}
+	if most := 25 * len(seeds(t, 6)); sent > most {
+		t.Errorf("%d starts were sent to machines that hear nothing, more than %d", sent, most)
+	}
+}
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -28,6 +28,7 @@
 	pushing map[*ledger.Machine]bool
 	stopped bool
 	asking  int // workers asked for their status that have not answered
+	shown   int // workers that were shown our token
 	// Hooks of the term.
 	OnNewer func()                  // a worker has seen a higher token
 	OnTrust func(m *ledger.Machine) // a machine reports for the first time
