--- a/internal/sim/meetings_test.go
+++ b/internal/sim/meetings_test.go
@@ -108,7 +108,11 @@
 // one learns that it leads no more; without that the workers stayed with it until its hold
 // was over, 24 s, and the next leaders gave way one after the other.
 func TestLeaderAlone(t *testing.T) {
-	for _, nodes := range []int{3, 7} {
+	for _, c := range []struct {
+		nodes int
+		quiet bool // nobody cancels: the next leader has nothing to tell its workers
+	}{{3, false}, {3, true}, {7, false}, {7, true}} {
+		nodes := c.nodes
 		w := worldOf(Config{Seed: uint64(90 + nodes), Nodes: nodes})
 		w.checkCancelled()
 		w.At(5*time.Second, func() {
@@ -120,7 +124,9 @@
 			old = w.Leader()
 			w.Alone(old, 60*time.Second, true)
 			w.Front = func() int { return (old + 1) % nodes }
-			w.after(4*time.Second, func() { w.cancel(w.jobs["j-2"]) })
+			if !c.quiet {
+				w.after(4*time.Second, func() { w.cancel(w.jobs["j-2"]) })
+			}
 		})
 		w.Run(68 * time.Second)
 		if _, ok := w.nodes[old].n.Leading(); ok {
@@ -133,7 +139,7 @@
 				t.Errorf("%d nodes: %s reports to node %d, not to the leader, %d", nodes, m.Name, m.node, next)
 			}
 		}
-		if j := w.jobs["j-2"]; j.cancelledAt == 0 || j.onMachines(w) > 0 {
+		if j := w.jobs["j-2"]; !c.quiet && (j.cancelledAt == 0 || j.onMachines(w) > 0) {
 			t.Errorf("%d nodes: a job cancelled through another node at %v has %d tasks on machines", nodes, j.cancelledAt, j.onMachines(w))
 		}
 		w.Run(119 * time.Second)
