--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -588,6 +588,11 @@
 // silent workers' tasks are gone.
 func (t *term) deaf() bool {
 	n := t.n
+	if !n.elect.Sure() {
+		// Nobody can be elected while the state service is down, and if it refuses us
+		// alone our lease is gone in any case. We may be the next leader, at once.
+		return false
+	}
 	report := seconds(n.set.Facts.Workers.ReportS)
 	now := n.env.Now()
 	// After a change of leader, workers need a failed report (4 s), a pause and
