tidings: controllers tell the leader of cancellations; work goes on through an outage for as long as they hear each other

Change: a leader asks with each status, with its clock and revision; every other node answers with the cancelled records that it knows beyond that revision, and whether these are all that it may have told anybody. The leader takes them into its replica, and its hold counts from the last moment before which nobody can have told what it doesn't know. A node that was elected answers no other leader, so that what the next leader counts on (workers.DeadAt) stays as it was. Older programs don't answer: the hold is as before.

--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -70,6 +70,7 @@
 // heard takes in what a peer says about parts.
 func (n *Node) heard(s *peer.Status) {
 	now := n.env.Now()
+	n.heardEnds(s)
 	if s.Gate >= 1 {
 		n.marks[s.Label] = s.Mark
 		if t := n.term; t != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"brooklb/internal/rollout"
 	"brooklb/internal/settings"
 	"brooklb/internal/statestore"
+	"brooklb/internal/tidings"
 	"brooklb/internal/units"
 	"brooklb/internal/wire"
 	"brooklb/internal/workers"
@@ -58,6 +59,7 @@
 	oldLeader time.Duration
 	// knocks has the workers that came here looking for the leader.
 	knocks map[string]time.Duration
+	teller *tidings.Teller
 }
 
 // term is everything that exists only while this node leads.
@@ -92,6 +94,7 @@
 	aims               *placement.Aims
 	// What all nodes take in: how it is divided, by how much it is eased, what is shut.
 	issuer  *intake.Issuer
+	ends    *tidings.Listener
 	issue   uint64
 	parts   map[string]uint64
 	divided time.Duration
@@ -133,6 +136,7 @@
 		Nodes: f.Nodes, TxnOps: f.State.TxnOps, ValueBytes: int(f.State.ValueKB * 1024)})
 	n.store.Share = n.Share
 	n.warm = images.New(env, n.store)
+	n.teller = tidings.NewTeller(n.store)
 	n.adm = admission.New(env, n.store, f.Teams, f.Zones)
 	n.holder = intake.NewHolder(env.Rand().Uint64())
 	n.weight = opt.Sharing.Weight(f.Teams)
@@ -224,6 +228,7 @@
 		st.Token = n.term.token
 	}
 	n.tellParts(&st)
+	n.tellEnds(&st)
 	return st
 }
 
@@ -349,7 +354,7 @@
 		reply(httpx.Response{Status: 421, Body: wire.ReportsTo(label)})
 		return
 	}
-	if n.env.Now()-n.elect.Proven() > n.hold {
+	if !t.within() {
 		// Another may lead by now, and a job may have been cancelled that we
 		// don't know of: the workers' leases must be allowed to run out.
 		reply(httpx.Response{Status: 503, RetryAfter: 1, Body: wire.Error("not sure to lead")})
@@ -392,6 +397,7 @@
 	base, _ := leader.ReadBase(n.store) // else we would not have been elected
 	t := &term{n: n, token: token + base.Token, base: base, cleared: map[*ledger.Job]time.Duration{}, preempted: map[*ledger.Job]time.Duration{}, holds: map[*ledger.Machine]*placement.Hold{}, lastMoves: -consolidateEvery, aims: placement.NewAims(f.Objectives)}
 	t.issuer, t.ease = intake.NewIssuer(n.env.Now(), n.others(), n.store.OthersWrites()), 1
+	t.ends = n.listen(t.token)
 	t.led = ledger.New(n.env, n.store, token, f.Teams)
 	t.led.Attempts = base.Attempts
 	t.fleet = fleet.New(n.env, t.led, n.store, token, fleet.Config{Charter: t.token, Cloud: n.set.External.Cloud, RPS: f.Cloud.RPS, Share: f.Limits.CPUShare,
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -11,6 +11,7 @@
 	"brooklb/internal/actor"
 	"brooklb/internal/httpx"
 	"brooklb/internal/settings"
+	"brooklb/internal/tidings"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -49,6 +50,9 @@
 	Echo  map[string]uint64 `cbor:"15,keyasint,omitempty"`
 	// Shut are teams and classes of which nothing more is taken now.
 	Shut [][2]string `cbor:"16,keyasint,omitempty"`
+	// What a leader asks about cancellations, and what the others answer (package tidings).
+	Question *tidings.Question `cbor:"17,keyasint,omitempty"`
+	Answer   *tidings.Answer   `cbor:"18,keyasint,omitempty"`
 }
 
 const (
--- /dev/null
+++ b/internal/sim/outage_test.go
@@ -0,0 +1,75 @@
+package sim
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+)
+
+// TestOutages draws long outages, just before which users cancel through any node, nodes are
+// refused alone, cut from each other (what is held arrives in the outage), end, stand still,
+// and workers reach only some: nothing cancelled may outlive cancel_s, nor run twice.
+func TestOutages(t *testing.T) {
+	killed, ran := 0, 0
+	for _, seed := range seeds(t, 40) {
+		w := world(30000 + seed)
+		if seed%4 == 0 {
+			w = seven(30000 + seed)
+		}
+		r, n := w.rng, len(w.nodes)
+		w.checkCancelled()
+		for i := range 14 {
+			shape := []string{"sweep", "sweep", "standing", "ensemble"}[i%4]
+			w.At(w.secs(4, 12), func() {
+				w.Submit(Job{ID: fmt.Sprintf("j-%d", i), Shape: shape, Team: "free", Image: "i", ImageGB: 0.1, Tasks: 2 + i%2, CPUs: 2, RunS: 4000, SnapshotS: 20, StowS: 4})
+			})
+		}
+		const out = 60 * time.Second
+		w.At(out, func() { w.State.Outage(w.secs(60, 130)) })
+		for i := range 8 {
+			at := out - w.secs(0, 0.4)
+			if i%2 == 0 {
+				at = out - w.secs(0, 6)
+			}
+			w.At(at, func() { w.cancel(w.jobs[fmt.Sprintf("j-%d", i)]) })
+		}
+		for range 2 + r.IntN(4) {
+			d := w.secs(1, 90)
+			w.At(out+w.secs(-6, 25), func() {
+				l, k := max(0, w.Leader()), r.IntN(n)
+				switch r.IntN(8) {
+				case 0, 1:
+					w.Cut(w.NodeName(l), w.NodeName((l+1+r.IntN(n-1))%n), d, r.IntN(3) > 0)
+				case 2:
+					w.Cut(w.NodeName(k), w.NodeName((k+1)%n), d, r.IntN(3) > 0)
+				case 3:
+					w.State.RefuseNode(w.NodeName([]int{l, k}[r.IntN(2)]), d)
+				case 4:
+					w.Crash([]int{l, k}[r.IntN(2)], w.secs(0.05, 8))
+				case 5:
+					w.Freeze([]int{l, k}[r.IntN(2)], d/3)
+				case 6:
+					for _, m := range w.Machines() {
+						if r.IntN(2) == 0 {
+							w.Cut(w.NodeName(k), m.Name, d, r.IntN(2) == 0)
+						}
+					}
+				default:
+					w.Alone(l, d, r.IntN(2) == 0)
+				}
+			})
+		}
+		w.At(out, func() {
+			for _, m := range w.Machines() {
+				ran += len(m.tasks)
+			}
+		})
+		w.Run(400 * time.Second)
+		for _, b := range w.Broken {
+			t.Errorf("seed %s: %s", strconv.FormatUint(seed, 10), b)
+		}
+		killed += w.KilledByLease
+	}
+	t.Logf("%d of %d tasks that ran were killed by their workers' leases", killed, ran)
+}
--- a/internal/statestore/store.go
+++ b/internal/statestore/store.go
@@ -379,6 +379,13 @@
 	}
 }
 
+// Learn takes in a record that another node had of the state service.
+func (s *Store) Learn(key string, value []byte, stamp uint64) {
+	if s.synced {
+		s.put(key, value, stamp)
+	}
+}
+
 func (s *Store) drop(key string, stamp uint64) {
 	if stamp > s.epoch {
 		s.graves[key] = max(s.graves[key], stamp)
