--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,6 +107,8 @@
 	// answered since.
 	unsure   time.Duration
 	unproven int
+	// sureSince is when the proof was there again, 0: always.
+	sureSince time.Duration
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
@@ -504,7 +506,7 @@
 		t.n.env.Log().Info("no fresh proof of leading, nothing is started", "token", t.token, "hold_s", tenth(t.n.hold.Seconds()))
 	case sure && t.unsure > 0:
 		t.n.env.Log().Info("leading is proven again", "token", t.token, "after_s", tenth((now - t.unsure).Seconds()), "reports_answered", t.unproven)
-		t.unsure, t.unproven = 0, 0
+		t.unsure, t.unproven, t.sureSince = 0, 0, now
 	}
 }
 
@@ -594,16 +596,17 @@
 // silent workers' tasks are gone.
 func (t *term) deaf() bool {
 	n := t.n
-	if !n.elect.Sure() {
+	if !n.elect.Sure() || t.unsure > 0 {
 		// Nobody can be elected while the state service is down, and if it refuses us
-		// alone our lease is gone in any case. We may be the next leader, at once.
+		// alone our lease is gone in any case. Workers that we had to send away meanwhile
+		// need some time to come back.
 		return false
 	}
 	report := seconds(n.set.Facts.Workers.ReportS)
 	now := n.env.Now()
 	// After a change of leader, workers need a failed report (4 s), a pause and
 	// a redirection to get here.
-	led := now - t.workers.Began()
+	led := now - max(t.workers.Began(), t.sureSince)
 	if led < 8*time.Second+report {
 		return false
 	}
--- a/internal/sim/outage_test.go
+++ b/internal/sim/outage_test.go
@@ -73,3 +73,28 @@
 	}
 	t.Logf("%d of %d tasks that ran were killed by their workers' leases", killed, ran)
 }
+
+// TestLeaderStaysThroughAnOutage guards against a leader that resigns in a long outage, or as
+// soon as it is over, since it has had to send its workers away: one follower is cut from it,
+// so that its hold runs out.
+func TestLeaderStaysThroughAnOutage(t *testing.T) {
+	for _, seed := range seeds(t, 3) {
+		w := world(31000 + seed)
+		w.At(5*time.Second, func() {
+			w.Submit(Job{ID: "j-1", Shape: "sweep", Team: "free", Image: "i", ImageGB: 0.1, Tasks: 12, CPUs: 4, RunS: 100})
+		})
+		w.Run(30 * time.Second)
+		old := w.Leader()
+		w.Cut(w.NodeName(old), w.NodeName((old+1)%3), 78*time.Second, false)
+		w.State.Outage(75 * time.Second)
+		w.Run(125 * time.Second)
+		if l := w.Leader(); l != old {
+			t.Errorf("seed %d: %d leads after the outage, %d before", seed, l, old)
+		}
+		if w.KilledByLease == 0 {
+			t.Errorf("seed %d: no lease ran out: the day didn't come to what it should show", seed)
+		}
+		w.Run(500 * time.Second)
+		w.verdict(t, 1)
+	}
+}
