--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,8 +107,8 @@
 	// answered since.
 	unsure   time.Duration
 	unproven int
-	// sureSince is when the proof was there again, 0: always.
-	sureSince time.Duration
+	// sentAway is since when workers were refused for want of a proof, 0: they are not.
+	sentAway time.Duration
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
@@ -359,6 +359,9 @@
 	if !t.within() {
 		// Another may lead by now, and a job may have been cancelled that we
 		// don't know of: the workers' leases must be allowed to run out.
+		if t.sentAway == 0 {
+			t.sentAway = n.env.Now()
+		}
 		reply(httpx.Response{Status: 503, RetryAfter: 1, Body: wire.Error("not sure to lead")})
 		return
 	}
@@ -464,6 +467,12 @@
 		return
 	}
 	t.n.env.After(250*time.Millisecond, t.tick)
+	if t.sentAway > 0 && t.within() {
+		// That they were not heard was our doing: machines were returned for it, and the
+		// leader resigned, as soon as a long outage was over.
+		t.workers.Stood(t.n.env.Now() - t.sentAway)
+		t.sentAway = 0
+	}
 	if t.deaf() {
 		t.n.yields++
 		t.n.elect.Yield("most workers don't reach this node", min(2*time.Minute, yieldFor<<t.n.yields))
@@ -506,7 +515,7 @@
 		t.n.env.Log().Info("no fresh proof of leading, nothing is started", "token", t.token, "hold_s", tenth(t.n.hold.Seconds()))
 	case sure && t.unsure > 0:
 		t.n.env.Log().Info("leading is proven again", "token", t.token, "after_s", tenth((now - t.unsure).Seconds()), "reports_answered", t.unproven)
-		t.unsure, t.unproven, t.sureSince = 0, 0, now
+		t.unsure, t.unproven = 0, 0
 	}
 }
 
@@ -596,17 +605,16 @@
 // silent workers' tasks are gone.
 func (t *term) deaf() bool {
 	n := t.n
-	if !n.elect.Sure() || t.unsure > 0 {
+	if !n.elect.Sure() {
 		// Nobody can be elected while the state service is down, and if it refuses us
-		// alone our lease is gone in any case. Workers that we had to send away meanwhile
-		// need some time to come back.
+		// alone our lease is gone in any case.
 		return false
 	}
 	report := seconds(n.set.Facts.Workers.ReportS)
 	now := n.env.Now()
 	// After a change of leader, workers need a failed report (4 s), a pause and
 	// a redirection to get here.
-	led := now - max(t.workers.Began(), t.sureSince)
+	led := now - t.workers.Began()
 	if led < 8*time.Second+report {
 		return false
 	}
--- a/internal/sim/outage_test.go
+++ b/internal/sim/outage_test.go
@@ -75,7 +75,7 @@
 }
 
 // TestLeaderStaysThroughAnOutage guards against a leader that resigns in a long outage, or as
-// soon as it is over, since it has had to send its workers away: one follower is cut from it,
+// soon as it is over, and returns its machines, since it has had to send the workers away: one follower is cut from it,
 // so that its hold runs out.
 func TestLeaderStaysThroughAnOutage(t *testing.T) {
 	for _, seed := range seeds(t, 3) {
@@ -87,7 +87,11 @@
 		old := w.Leader()
 		w.Cut(w.NodeName(old), w.NodeName((old+1)%3), 78*time.Second, false)
 		w.State.Outage(75 * time.Second)
+		before := len(w.Machines())
 		w.Run(125 * time.Second)
+		if n := len(w.Machines()); n < before {
+			t.Errorf("seed %d: %d of %d machines were returned", seed, before-n, before)
+		}
 		if l := w.Leader(); l != old {
 			t.Errorf("seed %d: %d leads after the outage, %d before", seed, l, old)
 		}
