A state service whose every answer is slow: answers are waited for as long as they take

Now the time that is waited doubles when an answer doesn't come and shrinks when they do (statestore.pace), and questions whether we lead overlap.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -19,6 +19,8 @@
 	ttl     = 3 * time.Second
 	renew   = 700 * time.Millisecond
 	confirm = 700 * time.Millisecond
+	// So many questions whether we lead are under way at most.
+	mostAsking = 4
 	// A node that others are better placed to replace lets them try for so long.
 	lastResort = time.Second
 )
@@ -56,6 +58,7 @@
 	onLose    func()
 	known     record
 	knownAt   uint64
+	asking    int           // questions whether we lead that have no answer
 	endAt     time.Duration // no earlier process's lease is ended before
 }
 
@@ -230,13 +233,21 @@
 	if token == 0 {
 		return
 	}
+	// The next question doesn't wait for this one's answer, which may take long.
+	a.env.After(confirm, func() {
+		if a.token == token {
+			a.confirm()
+		}
+	})
+	if a.asking >= mostAsking {
+		return
+	}
+	a.asking++
 	asked := a.env.Now()
 	t := wire.Txn{When: []wire.Cond{{Path: Key, Stamp: token}}}
 	a.store.Commit(t, true, func(r statestore.Result, epoch uint64, _ []string) {
+		a.asking--
 		if a.token != token {
-			if a.token != 0 {
-				a.env.After(confirm, a.confirm)
-			}
 			return
 		}
 		switch r {
@@ -248,9 +259,7 @@
 			})
 		case statestore.Conflict:
 			a.lose("another took over")
-			return
 		}
-		a.env.After(confirm, a.confirm)
 	})
 }
 
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -238,6 +238,7 @@
 		switch {
 		case a.Err == nil && a.Status == 200:
 			j.silentSince = 0
+			w.Good++
 			w.answer(j, a.Body, asked)
 		case a.Err == nil && a.Status == 404:
 			w.broke("forgotten", "%s got 404", j.id)
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -78,10 +78,10 @@
 	Broken   []string
 	Started  int
 	Done     int
-	// Polls counts users' polls, Refused those that got 503.
-	Polls, Refused int
-	Checks         int // of services' health
-	log            *slog.Logger
+	// Polls counts users' polls, Refused those that got 503, Good those that were answered.
+	Polls, Refused, Good int
+	Checks               int // of services' health
+	log                  *slog.Logger
 	// Garbage is how seldom (one in so many) an answer to a controller has a
 	// body that makes no sense; 0: never.
 	Garbage int
--- a/internal/statestore/read.go
+++ b/internal/statestore/read.go
@@ -59,7 +59,7 @@
 	}
 	s.reading++
 	sent := s.env.Now()
-	s.call("POST", wire.PathCommit, wire.Encode(t), readTimeout, func(a actor.Answer) {
+	s.call("POST", wire.PathCommit, wire.Encode(t), s.patience(readTimeout, pollMost), func(a actor.Answer) {
 		s.reading--
 		defer s.pump()
 		if sent < s.woke {
@@ -97,7 +97,7 @@
 		return
 	}
 	sent := s.env.Now()
-	s.call("GET", wire.PathKeys+"/"+key, nil, readTimeout, func(a actor.Answer) {
+	s.call("GET", wire.PathKeys+"/"+key, nil, s.patience(readTimeout, 2*readTimeout), func(a actor.Answer) {
 		switch {
 		case sent < s.woke:
 			done(nil, false)
--- a/internal/statestore/store.go
+++ b/internal/statestore/store.go
@@ -78,7 +78,8 @@
 	reading   int
 	readAt    time.Duration // of the last read
 	readTimer *actor.Timer
-	watchFail int
+	// slow is how many times as long as usual answers are waited for.
+	slow float64
 }
 
 type wait struct {
@@ -99,9 +100,16 @@
 	commitTimeout = 700 * time.Millisecond
 	userTimeout   = 350 * time.Millisecond // somebody waits for it
 	watchBlock    = 2 * time.Second
-	watchGap      = 150 * time.Millisecond // least time between watches of a node that doesn't lead
-	leaderGap     = 40 * time.Millisecond
-	readGap       = 20 * time.Millisecond // least time between reads
+	// A renewal that is carried out counts, however late its answer is.
+	renewTimeout = 2500 * time.Millisecond
+	// Where answers take long, they are waited for up to these times: what we do for
+	// ourselves, what a user waits for up to 5 s (and we try four times), and a poll, for
+	// which he waits 2 s.
+	ownMost, userMost, pollMost = 4 * time.Second, 1100 * time.Millisecond, 1800 * time.Millisecond
+	mostSlow                    = 6
+	watchGap                    = 150 * time.Millisecond // least time between watches of a node that doesn't lead
+	leaderGap                   = 40 * time.Millisecond
+	readGap                     = 20 * time.Millisecond // least time between reads
 	// Shares of the budgets. The leader writes most; what is left is divided
 	// among the others, however many they are.
 	leaderShare   = 0.46
@@ -127,7 +135,7 @@
 
 // New makes a Store; Start begins to fill its replica.
 func New(env actor.Env, cfg Config) *Store {
-	s := &Store{env: env, cfg: cfg, items: map[string]Item{}, graves: map[string]uint64{}, contact: -time.Hour, readAt: -time.Hour}
+	s := &Store{env: env, cfg: cfg, items: map[string]Item{}, graves: map[string]uint64{}, contact: -time.Hour, readAt: -time.Hour, slow: 1}
 	s.SetLeading(false)
 	s.requests.Drain(max(freshLeast, s.rps*freshPart))
 	return s
@@ -215,7 +223,11 @@
 func (s *Store) WriteBurst() float64 { return s.writes.Burst() }
 
 func (s *Store) call(method, path string, body []byte, timeout time.Duration, done func(actor.Answer)) {
+	asked := s.env.Now()
 	s.env.Call(actor.Call{Addr: s.cfg.Addr, Method: method, Path: path, Body: body, Timeout: timeout, Done: func(a actor.Answer) {
+		if path == wire.PathCommit {
+			s.pace(s.env.Now()-asked, a.Err != nil && !a.Unsent())
+		}
 		switch {
 		case a.Err != nil:
 		case a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests:
@@ -227,6 +239,22 @@
 	}})
 }
 
+// pace learns how long to wait: twice as long after an answer that did not come, and no
+// longer than needed once they do. A service whose every answer takes a second is usable; with
+// fixed times each transaction was given up and written again, and failed on its own copy.
+func (s *Store) pace(took time.Duration, none bool) {
+	if none {
+		s.slow = min(mostSlow, 2*s.slow)
+	} else {
+		s.slow = min(s.slow, max(1, 2*float64(took)/float64(commitTimeout)))
+	}
+}
+
+// patience is how long an answer is waited for now.
+func (s *Store) patience(usual, most time.Duration) time.Duration {
+	return min(most, time.Duration(s.slow*float64(usual)))
+}
+
 // Start reads all keys and keeps watching them.
 func (s *Store) Start() {
 	s.gen++
@@ -316,7 +344,7 @@
 	opened := s.env.Now()
 	// A watch that stays open past its time hangs in a cut or an outage: a new
 	// one is opened, since only an answer proves that nothing was missed.
-	s.call("GET", path, nil, watchBlock+1500*time.Millisecond, func(a actor.Answer) {
+	s.call("GET", path, nil, watchBlock+s.patience(1500*time.Millisecond, ownMost), func(a actor.Answer) {
 		if s.gen != gen {
 			return
 		}
@@ -420,9 +448,9 @@
 		refuse()
 		return
 	}
-	timeout := commitTimeout
+	timeout := s.patience(commitTimeout, ownMost)
 	if !own {
-		timeout = userTimeout
+		timeout = s.patience(userTimeout, userMost)
 	}
 	s.call("POST", wire.PathCommit, wire.Encode(t), timeout, func(a actor.Answer) {
 		o, err := wire.DecodeOutcome(a.Body, a.Status == 409)
@@ -478,7 +506,7 @@
 		s.env.After(0, func() { done(false, false) })
 		return
 	}
-	s.call("POST", wire.PathGrants+"/"+strconv.FormatUint(permit, 10)+"/renew", nil, readTimeout, func(a actor.Answer) {
+	s.call("POST", wire.PathGrants+"/"+strconv.FormatUint(permit, 10)+"/renew", nil, renewTimeout, func(a actor.Answer) {
 		done(a.Err == nil && a.Status == 200, a.Err == nil && a.Status == 404)
 	})
 }
