--- a/internal/sim/meetings_test.go
+++ b/internal/sim/meetings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strconv"
 	"testing"
 	"time"
@@ -191,3 +192,45 @@
 		t.Errorf("%d starts were sent to machines that hear nothing, more than %d", sent, most)
 	}
 }
+
+// TestEndsFarApart: jobs of two or three tasks whose tasks end far apart, since some machines
+// are much slower, while the leader ends again and again, before the marks of what is done are
+// durable, and machines with results are taken. Nothing is called done too early, all ends,
+// and little is run again for nothing.
+func TestEndsFarApart(t *testing.T) {
+	starts, tasks := 0, 0
+	for _, seed := range seeds(t, 10) {
+		w := world(40000 + seed)
+		w.checkCancelled()
+		for i, m := range w.Machines() {
+			if i%2 == 0 {
+				m.Slow = 12
+			}
+		}
+		for i := range 25 {
+			n := 2 + i%2
+			tasks += n
+			w.At(w.secs(3, 120), func() {
+				w.Submit(Job{ID: fmt.Sprintf("j-%03d", i), Shape: []string{"sweep", "sweep", "ensemble"}[i%3], Team: "free", Image: "i", ImageGB: 0.2, Tasks: n, CPUs: 7, RunS: w.secs(3, 9).Seconds()})
+			})
+		}
+		for range 8 {
+			w.At(w.secs(10, 200), func() { w.Crash(max(0, w.Leader()), w.secs(0.05, 6)) })
+		}
+		for range 2 {
+			w.At(w.secs(20, 160), func() {
+				ms := w.Machines()
+				w.Cloud.Take(ms[w.rng.IntN(len(ms))], w.secs(0, 8))
+			})
+		}
+		w.Run(900 * time.Second)
+		w.verdict(t, 25)
+		for _, j := range w.jobs {
+			starts += j.starts
+		}
+	}
+	t.Logf("%d starts for %d tasks", starts, tasks)
+	if starts > tasks*7/4 {
+		t.Errorf("%d starts for %d tasks", starts, tasks)
+	}
+}
--- a/internal/workers/proof_test.go
+++ b/internal/workers/proof_test.go
@@ -1,6 +1,7 @@
 package workers
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -176,3 +177,38 @@
 		}
 	}
 }
+
+// TestContradictingReports feeds a leader reports whose sessions and sequences go back, which
+// contradict each other and name what nobody knows: what runs by right, as the newest honest
+// report says, is neither stopped nor taken for gone, and a returned machine stays returned.
+func TestContradictingReports(t *testing.T) {
+	for seed := range uint64(300) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		e, a, p := term(t, []model.Kind{model.Array, model.Gang, model.Service}[seed%3])
+		a.Report(said(7, 100, as(model.Running, "")))
+		for i := range uint64(60) {
+			e.now += time.Duration(r.IntN(3000)) * time.Millisecond
+			bad := &model.Report{Machine: []string{"m", "m", "m", "unknown", ""}[r.IntN(5)], Session: uint64(r.IntN(2)), Seq: uint64(r.IntN(100)), Token: uint64(r.IntN(7)),
+				Type: []string{"g", "x", ""}[r.IntN(3)], Zone: "z"}
+			for range r.IntN(4) {
+				bad.Tasks = append(bad.Tasks, model.TaskReport{Job: []string{"j-1", "j-2", ""}[r.IntN(3)], Task: r.IntN(3) * 70000, Attempt: uint64(r.IntN(3)), Phase: model.Phase(r.IntN(6)),
+					Cause: []string{model.CauseStopped, model.CauseError, model.CauseBusy, "?", ""}[r.IntN(5)]})
+			}
+			for _, o := range a.Report(bad) {
+				if o.Job == "j-1" && o.Task == 0 && o.Attempt == 1 && o.Op != model.Start && bad.Machine == "m" {
+					t.Fatalf("seed %d: %+v after %+v", seed, o, bad)
+				}
+			}
+			if p.Gone || p.Stopping {
+				t.Fatalf("seed %d: what runs by right is gone %v, stopping %v after %+v", seed, p.Gone, p.Stopping, bad)
+			}
+			a.Report(said(7, 100+i+1, as(model.Running, "")))
+			a.Tick()
+		}
+		a.led.Remove(p.M, "returned")
+		a.Report(said(7, 1000, as(model.Running, "")))
+		if a.led.Machines["m"] != nil {
+			t.Fatal("a copied report brought a returned machine back")
+		}
+	}
+}
