--- a/internal/sim/meetings_test.go
+++ b/internal/sim/meetings_test.go
@@ -219,8 +219,9 @@
 		}
 		for range 2 {
 			w.At(w.secs(20, 160), func() {
-				ms := w.Machines()
-				w.Cloud.Take(ms[w.rng.IntN(len(ms))], w.secs(0, 8))
+				if ms := w.Machines(); len(ms) > 0 {
+					w.Cloud.Take(ms[w.rng.IntN(len(ms))], w.secs(0, 8))
+				}
 			})
 		}
 		w.Run(900 * time.Second)
