--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -167,6 +167,7 @@
 	LastAnswered           time.Duration // last report that we answered with our token
 	TokenSeen              bool          // the worker has seen our token
 	TokenAt                time.Duration // when we learned that
+	SessionAt              time.Duration // when we first heard of this session
 	// Fresh: something that the worker sent in this term was heard. Whatever came before
 	// may be a copy from long ago.
 	Fresh      bool
--- a/internal/workers/proof.go
+++ b/internal/workers/proof.go
@@ -52,6 +52,10 @@
 	} else {
 		last = max(last, m.LastAnswered)
 	}
+	// A session that we have heard of, perhaps by the answer to a command alone, has a lease
+	// of its own from its beginning: what was started in it at once was taken for dead by
+	// the silence of the session before (sim.TestMeetings/1645, after a long outage).
+	last = max(last, m.SessionAt)
 	return last + time.Duration(float64(a.cfg.Lease)*drift) + 1500*time.Millisecond
 }
 
--- a/internal/workers/proof_test.go
+++ b/internal/workers/proof_test.go
@@ -212,3 +212,27 @@
 		}
 	}
 }
+
+// TestNewSessionHasALease guards against taking what was started in a new session for dead by
+// the silence of the session before: the new one is known by the answer to a command only.
+func TestNewSessionHasALease(t *testing.T) {
+	e, a, p := term(t, model.Array)
+	p.Inherited = false
+	a.Report(said(7, 1, as(model.Running, "")))
+	e.now = a.DeadAt(p.M) + time.Minute
+	a.absorb(&model.Report{Machine: "m", Addr: "x", Type: "g", Zone: "z", Session: 2, Seq: 9, Token: 7}, asked)
+	if !p.Gone {
+		t.Fatal("a later session has none of the earlier one's tasks")
+	}
+	q := a.led.Plan(p.Job, 0, 2, p.M)
+	q.Durable, q.Session, q.Seen = true, 2, true
+	for end := e.now + a.cfg.Lease; e.now < end; e.now += time.Second {
+		if a.Tick(); q.Gone {
+			t.Fatal("taken for dead while its session's lease runs")
+		}
+	}
+	e.now += 3 * time.Second
+	if a.Tick(); !q.Gone {
+		t.Error("still there after its lease has run out")
+	}
+}
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -140,6 +140,7 @@
 		// Commands carry the session: what was sent to an earlier one is void.
 		m.Ambiguous = map[string]uint64{}
 		m.Sent = map[string]time.Duration{}
+		m.SessionAt = now
 	}
 	m.Session, m.Seq, m.Token = r.Session, r.Seq, r.Token
 	m.Missing = 0
