--- a/internal/workers/proof_test.go
+++ b/internal/workers/proof_test.go
@@ -236,3 +236,24 @@
 		t.Error("still there after its lease has run out")
 	}
 }
+
+// TestResultsAreKept guards against a worker that is told to forget a result which is not
+// durable: a leader that ends just then leaves a task that runs again.
+func TestResultsAreKept(t *testing.T) {
+	_, a, p := term(t, model.Array)
+	forgets := func(seq uint64) (n int) {
+		for _, o := range a.Report(said(7, seq, as(model.Exited, model.CauseDone))) {
+			if o.Op == model.Forget {
+				n++
+			}
+		}
+		return n
+	}
+	if n := forgets(1) + forgets(2); n > 0 || !p.Job.Tasks[0].Done {
+		t.Errorf("told %d times to forget a result that isn't written, done %v", n, p.Job.Tasks[0].Done)
+	}
+	p.Job.Final = ledger.Done // which is written only once it is durable
+	if forgets(3) != 1 {
+		t.Error("not told to forget a result that is durable")
+	}
+}
