--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -189,7 +189,7 @@
 	a.trying = false
 	a.permit, a.token = permit, token
 	a.known, a.knownAt = record{Node: a.label, Nonce: a.nonce}, token
-	a.proven, a.renewed = asked, asked
+	a.proven, a.renewed, a.asking = asked, asked, 0
 	a.store.SetLeading(true)
 	a.env.Log().Info("elected", "token", token)
 	a.keep(token)
@@ -246,10 +246,10 @@
 	asked := a.env.Now()
 	t := wire.Txn{When: []wire.Cond{{Path: Key, Stamp: token}}}
 	a.store.Commit(t, true, func(r statestore.Result, epoch uint64, _ []string) {
-		a.asking--
 		if a.token != token {
 			return
 		}
+		a.asking--
 		switch r {
 		case statestore.OK:
 			a.store.WhenAt(epoch, func() {
--- a/internal/statestore/store.go
+++ b/internal/statestore/store.go
@@ -79,7 +79,8 @@
 	readAt    time.Duration // of the last read
 	readTimer *actor.Timer
 	// slow is how many times as long as usual answers are waited for.
-	slow float64
+	slow   float64
+	missed int // answers in a row that did not come
 }
 
 type wait struct {
@@ -239,13 +240,16 @@
 	}})
 }
 
-// pace learns how long to wait: twice as long after an answer that did not come, and no
+// pace learns how long to wait: twice as long after answers that did not come, and no
 // longer than needed once they do. A service whose every answer takes a second is usable; with
 // fixed times each transaction was given up and written again, and failed on its own copy.
 func (s *Store) pace(took time.Duration, none bool) {
 	if none {
-		s.slow = min(mostSlow, 2*s.slow)
+		if s.missed++; s.missed > 1 { // a single one may be lost
+			s.slow = min(mostSlow, 2*s.slow)
+		}
 	} else {
+		s.missed = 0
 		s.slow = min(s.slow, max(1, 2*float64(took)/float64(commitTimeout)))
 	}
 }
