--- a/internal/sim/meetings_test.go
+++ b/internal/sim/meetings_test.go
@@ -74,10 +74,13 @@
 
 const meetings = 12
 
+// failedMeetings are seeds of days that broke a rule once; they are played first.
+var failedMeetings = []uint64{120, 1054, 1645}
+
 // TestMeetings draws days on which the troubles that the users have met come together in
 // twos and threes, while users cancel and ask.
 func TestMeetings(t *testing.T) {
-	for _, s := range seeds(t, 32) {
+	for _, s := range append(failedMeetings, seeds(t, 32)...) {
 		t.Run(strconv.FormatUint(s, 10), func(t *testing.T) {
 			t.Parallel()
 			w := world(20000 + s)
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -97,7 +97,7 @@
 	d := w.secs(2, 45)
 	ms := w.Machines()
 	n := len(w.nodes)
-	switch r.IntN(20) {
+	switch r.IntN(24) {
 	case 0, 1:
 		w.Crash(r.IntN(n), w.secs(1, 10))
 	case 2:
@@ -159,6 +159,19 @@
 			i = l
 		}
 		w.Freeze(i, []time.Duration{w.secs(1.6, 3), w.secs(3, 20), w.secs(20, 60)}[r.IntN(3)])
+	case 20:
+		w.LateWrites(0.05+0.3*r.Float64(), d)
+	case 21:
+		w.LateReports(0.05+0.4*r.Float64(), 2*d)
+	case 22: // for shorter and for longer than a lease
+		share := r.Float64()
+		for _, m := range ms {
+			if r.Float64() < share {
+				m.Deafen(2 * d)
+			}
+		}
+	case 23:
+		w.Alone(max(0, w.Leader()), 2*d, r.IntN(2) == 0)
 	case 19: // machines come up late, at once or never
 		zone, f, until := w.cfg.Zones[r.IntN(3)], []float64{-1, 0.05, 5}[r.IntN(3)], w.now+3*d
 		all := r.IntN(2) == 0
