--- a/docs/days/check.py
+++ b/docs/days/check.py
@@ -10,6 +10,9 @@
 """
 import re, sys
 
+if len(sys.argv) != 2:
+    print("usage: check.py LOG", file=sys.stderr)
+    sys.exit(2)
 alone = down = None
 node, cancelled, placed, answered, broken = "", 0, 0, 0, None
 for line in open(sys.argv[1], errors="replace"):
