--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -58,7 +58,8 @@
 	typesAt   time.Duration
 	watchedAt time.Duration
 	ticked    time.Duration
-	resumed   time.Duration // when the proof of leading was there again
+	resumed   time.Duration // when planning went on after the proof of leading was gone
+	behind    bool          // what was lost then is not planned or written again yet
 	listOnce  bool
 	seen      map[string]bool
 	want      map[string]time.Duration // to be returned: name -> since
@@ -144,7 +145,14 @@
 func (a *Actor) Tick() {
 	now := a.env.Now()
 	if a.ticked > 0 && now-a.ticked > away {
-		a.resumed = now
+		a.resumed, a.behind = now, true
+	}
+	if a.behind {
+		// Nothing is planned while much waits to be written: that machines are idle then
+		// says nothing.
+		if a.behind = a.led.Behind(model.Low) > 0; a.behind {
+			a.resumed = now
+		}
 	}
 	a.ticked = now
 	if len(a.led.Types) == 0 || now-a.typesAt > 30*time.Second {
