--- a/internal/workers/orders.go
+++ b/internal/workers/orders.go
@@ -75,16 +75,12 @@
 
 const (
 	// A copy of a start that was carried out and answered may come so late. Until then
-	// the worker keeps what it knows of the attempt: one that had forgotten it started it again, beside the next
+	// the worker keeps what it knows of the attempt, unless it was done (then the result
+	// is kept in any case): one that had forgotten it started it again, beside the next
 	// attempt elsewhere (sim.TestTroubledDays/11 with copies).
 	copiesFor = 5 * time.Minute
 	// More exits than this on one machine don't wait: each report lists them all.
 	mostKept = 64
-	// Of attempts that were done the result is kept in any case: one that is started again
-	// ends as soon as it has its image. Until then it counts for its team, which may be at its
-	// limit (sim.TestMeetings/120), so that some are kept, too. More of them would make every
-	// report longer where tasks are short.
-	mostDone = 16
 )
 
 // mayForget says whether the worker may forget an exited attempt. Its end must
@@ -97,7 +93,7 @@
 	if _, ok := m.Ambiguous[key(t)]; ok {
 		return false
 	}
-	if at, ok := m.Sent[key(t)]; ok && a.env.Now()-at < copiesFor && (len(m.Ended) <= mostDone || t.Cause != model.CauseDone && len(m.Ended) <= mostKept) {
+	if at, ok := m.Sent[key(t)]; ok && t.Cause != model.CauseDone && a.env.Now()-at < copiesFor && len(m.Ended) <= mostKept {
 		return false
 	}
 	j := a.led.Jobs[t.Job]
