--- a/internal/sim/meetings.go
+++ b/internal/sim/meetings.go
@@ -14,8 +14,6 @@
 type lateness struct {
 	writes, reports           float64
 	writesUntil, reportsUntil time.Duration
-	// LateWrites and LateCopies count what was late.
-	lateWrites, lateCopies, unheard int
 }
 
 // LateWrites has a share of the controllers' transactions get no answer and be carried
@@ -55,14 +53,12 @@
 func (w *World) meddle(from string, c actor.Call, h host, body []byte) bool {
 	l := &w.late
 	if w.now < l.writesUntil && strings.HasPrefix(c.Path, "/commit") && w.rng.Float64() < l.writes {
-		l.lateWrites++
 		w.after(w.secs(2, 12), func() { h.serve(from, c.Method, c.Path, body, func(int, []byte) {}) })
 		return true
 	}
 	if w.now < l.reportsUntil && c.Path == "/hello" && w.rng.Float64() < l.reports {
 		w.after(w.secs(2, 2.5*w.lease().Seconds()), func() {
 			if h.reachable() {
-				l.lateCopies++
 				h.serve(from, c.Method, c.Path, body, func(int, []byte) {})
 			}
 		})
@@ -95,7 +91,7 @@
 // Balance has a load balancer ask all nodes for their health once a second, as the
 // protocol says, and users keep to the node of their connection until that is reset.
 func (w *World) Balance() {
-	w.Balanced, w.balance = true, make([]balanced, len(w.nodes))
+	w.balance = make([]balanced, len(w.nodes))
 	var probe func()
 	probe = func() {
 		w.after(time.Second, probe)
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -93,7 +93,7 @@
 // askFor has the job's user ask.
 func (w *World) askFor(j *userJob, method, path string, body []byte, timeout time.Duration, done func(a actor.Answer)) {
 	s := w.pick()
-	if w.Balanced && j != nil {
+	if w.balance != nil && j != nil {
 		s = w.front(j)
 	}
 	w.send("users", actor.Call{Addr: s.addr, Method: method, Path: path, Body: body, Timeout: timeout, Done: done})
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -116,9 +116,8 @@
 	// KilledByLease counts the tasks that ran when their worker's lease ran out.
 	KilledByLease int
 	late          lateness
-	// Balanced has users go through a load balancer that asks for the nodes' health.
-	Balanced bool
-	balance  []balanced
+	// balance is how a load balancer takes the nodes to be (Balance), nil: there is none.
+	balance []balanced
 	// Calm is when all troubles are over, 0: no job is held against Silence.
 	Calm time.Duration
 	// Taken is what the probe of a resource answers, less than 0: nothing.
