Done attempts are kept, too, while a copy of their start may come; the number kept is bounded at the source

Cause: a worker that was told to forget a done attempt runs a copy of its start again: beside a team's work at its limit (quota), or long after its job was cancelled (ran_cancelled). Now: all attempts whose start went straight to the worker are kept for 5 min; as soon as 64 are, starts on that machine go in answers to reports, of which no copy is executed. Before, more than 64 were forgotten early.

--- /dev/null
+++ b/internal/sim/copies_test.go
@@ -0,0 +1,111 @@
+package sim
+
+import (
+	"bytes"
+	"encoding/json"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"brooklb/internal/actor"
+)
+
+// TestCopiesOfStarts has three copies of each direct start arrive, 2 s to 4 min after it was
+// carried out, mostly after its task was done and the worker told to forget it, while the
+// task's team is at its limit or its job was cancelled, also across a change of leader. A
+// worker that had forgotten a done task started it again: `quota` and `ran_cancelled`.
+func TestCopiesOfStarts(t *testing.T) {
+	atLimit, cancelled := 0, 0
+	for _, seed := range seeds(t, 4) {
+		w := world(45000 + seed)
+		w.checkCancelled()
+		w.steady("short", 1, 1200*time.Millisecond, 5*time.Second, 240*time.Second, func(i int) Job {
+			j := Job{Shape: "sweep", Team: "red", Tasks: 3, CPUs: 8, RunS: float64(4 + i%6)}
+			if i%16 == 0 { // some tasks are done, others wait, when it is cancelled
+				j.Tasks, j.CancelAfter = 60, 25*time.Second
+			}
+			return j
+		})
+		// Others' work comes and goes, so that machines have room when the team is at its limit.
+		w.steady("others", 2, 4*time.Second, 5*time.Second, 300*time.Second, func(i int) Job {
+			return Job{Shape: "sweep", Team: "free", Tasks: 1 + i%12, CPUs: 6, RunS: float64(5 + i%9)}
+		})
+		w.OnSend = func(from string, c actor.Call) {
+			m := w.Cloud.byAddr[c.Addr]
+			if m == nil || c.Path != "/orders" || !bytes.Contains(c.Body, []byte(`"start"`)) {
+				return
+			}
+			body := bytes.Clone(c.Body)
+			copied := func() {
+				if !m.reachable() {
+					return
+				}
+				for _, j := range w.doneOf(m, body) {
+					use := w.useOf(j.team)
+					if use+j.cpus > 160 && m.free() >= j.cpus {
+						atLimit++
+					}
+					if j.cancelledAt > 0 && w.now > j.cancelledAt+w.cancelWithin() {
+						cancelled++
+					}
+				}
+				m.serve(from, c.Method, c.Path, body, func(int, []byte) {})
+			}
+			for range 3 {
+				w.after(w.secs(2, 240), copied)
+			}
+		}
+		if seed%2 == 0 {
+			w.At(120*time.Second, func() { w.Crash(max(0, w.Leader()), 3*time.Second) })
+		}
+		w.Run(600 * time.Second)
+		w.verdict(t, 100)
+	}
+	t.Logf("copies of starts of done tasks: %d came while their team was at its limit, %d long after a cancellation", atLimit, cancelled)
+	if atLimit < 30 || cancelled < 30 {
+		t.Error("the meeting did not come about")
+	}
+}
+
+// useOf is how many CPUs the team's tasks use, as the rule counts them.
+func (w *World) useOf(team string) (cpus float64) {
+	for _, m := range w.Cloud.machines {
+		for _, x := range m.tasks {
+			if x.job.team == team && x.phase != "ended" {
+				cpus += x.job.cpus
+			}
+		}
+	}
+	return cpus
+}
+
+func (m *Machine) free() float64 {
+	cpus := m.w.cfg.CPUs
+	for _, x := range m.tasks {
+		if x.phase != "ended" {
+			cpus -= x.job.cpus
+		}
+	}
+	return cpus
+}
+
+// doneOf is the jobs of the tasks that a direct command starts, are done already, and would be
+// started if the worker knew nothing of them.
+func (w *World) doneOf(m *Machine, body []byte) (out []*userJob) {
+	var r struct {
+		Baton, Tenure uint64
+		Orders        []order
+	}
+	if json.Unmarshal(body, &r) != nil || r.Baton < m.baton || r.Tenure != m.tenure {
+		return nil
+	}
+	for _, o := range r.Orders {
+		id, n, _ := strings.Cut(o.Shard, "/")
+		task, _ := strconv.Atoi(n)
+		if j := w.jobs[id]; o.Verb == "start" && j != nil && j.results[task] {
+			out = append(out, j)
+		}
+	}
+	return out
+}
--- a/internal/workers/orders.go
+++ b/internal/workers/orders.go
@@ -15,6 +15,7 @@
 func (a *Actor) orders(m *ledger.Machine, all bool) []model.Order {
 	var out []model.Order
 	now := a.env.Now()
+	direct := len(m.Sent) + len(m.Ambiguous) // starts of which copies may come
 	if all {
 		for _, t := range m.Strays {
 			out = append(out, model.Order{Op: model.Stop, Job: t.Job, Task: t.Task, Attempt: t.Attempt})
@@ -60,10 +61,12 @@
 				a.led.Lost(p, model.CauseLost)
 				continue
 			}
-			p.Session, p.SentAt = m.Session, now
 			if all {
 				p.ToldAt = now
+			} else if direct++; direct > mostKept {
+				continue // the answer to the next report tells it
 			}
+			p.Session, p.SentAt = m.Session, now
 			out = append(out, model.Order{Op: model.Start, Job: id, Task: p.Task, Attempt: p.Attempt})
 		}
 	}
@@ -74,12 +77,14 @@
 func rank(o model.Op) int { return [...]int{2, 1, 0}[o] }
 
 const (
-	// A copy of a start that was carried out and answered may come so late. Until then
-	// the worker keeps what it knows of the attempt, unless it was done (then the result
-	// is kept in any case): one that had forgotten it started it again, beside the next
-	// attempt elsewhere (sim.TestTroubledDays/11 with copies).
+	// A copy of a start that was carried out and answered may come so late. Until then the
+	// worker keeps what it knows of the attempt, also of one that was done: a worker that had
+	// forgotten it started it again, beside the next attempt elsewhere (sim.TestTroubledDays/11
+	// with copies), or, though it was done, beside a team's work at its limit, or long after
+	// its job was cancelled (sim.TestCopiesOfStarts).
 	copiesFor = 5 * time.Minute
-	// More exits than this on one machine don't wait: each report lists them all.
+	// Only so many attempts are kept on one machine, since each report lists them all: while
+	// there are as many, starts go in answers to reports, of which no copy is executed.
 	mostKept = 64
 )
 
@@ -93,7 +98,7 @@
 	if _, ok := m.Ambiguous[key(t)]; ok {
 		return false
 	}
-	if at, ok := m.Sent[key(t)]; ok && t.Cause != model.CauseDone && a.env.Now()-at < copiesFor && len(m.Ended) <= mostKept {
+	if at, ok := m.Sent[key(t)]; ok && a.env.Now()-at < copiesFor {
 		return false
 	}
 	j := a.led.Jobs[t.Job]
@@ -125,6 +130,11 @@
 	if m.Addr == "" || !m.Heard || now-m.LastHeard > 3*a.cfg.Report {
 		return // the answer to its next report will tell it
 	}
+	for k, at := range m.Sent {
+		if now-at >= copiesFor {
+			delete(m.Sent, k)
+		}
+	}
 	out := a.orders(m, false)
 	if len(out) == 0 {
 		return
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -13,11 +13,12 @@
 	"brooklb/internal/statestore"
 )
 
-// env runs timers by hand; direct commands never get an answer.
+// env runs timers by hand; direct commands get no answer unless a test gives one.
 type env struct {
 	now    time.Duration
 	timers actor.Timers
 	calls  int
+	answer func(actor.Call) actor.Answer // to direct commands; nil: none comes
 }
 
 func (e *env) Now() time.Duration { return e.now }
@@ -30,6 +31,10 @@
 func (e *env) Call(c actor.Call) {
 	if c.Path == "/orders" {
 		e.calls++
+		if e.answer != nil {
+			c.Done(e.answer(c))
+			return
+		}
 		c.Done(actor.Answer{Err: actor.ErrNoAnswer})
 	}
 }
@@ -85,3 +90,62 @@
 		t.Error("a later session doesn't free the room")
 	}
 }
+
+// TestStartsThatAreKept guards against a machine with more starts of which copies may come
+// than its worker can keep: the others go in the answer to a report, none is lost, and what
+// was started directly is not forgotten, done or not, while a copy may come.
+func TestStartsThatAreKept(t *testing.T) {
+	const tasks = 2*mostKept + 5
+	e := &env{now: time.Minute}
+	e.answer = func(actor.Call) actor.Answer { return actor.Answer{Status: 200} }
+	l := ledger.New(e, statestore.New(e, statestore.Config{RPS: 10, WriteRPS: 10, Nodes: 1, TxnOps: 8}), 7, []settings.Team{{Name: "t"}})
+	l.Types["g"] = &model.MachineType{Name: "g", Cap: model.Need{CPUs: tasks}}
+	a := New(e, l, 7, Config{Lease: 30 * time.Second, Hold: 20 * time.Second, Report: 3 * time.Second})
+	rec := ledger.NewRecord(&model.Spec{ID: "j-1", Team: "t", Tasks: tasks, Need: model.Need{CPUs: 1}, Image: "i"}, 0, "", 48)
+	l.JobEvent(ledger.JobKey("j-1"), &statestore.Item{Value: rec.Encode(), Stamp: 1})
+	seq := uint64(0)
+	count := func(tasks ...model.TaskReport) (starts, forgets int) {
+		seq++
+		for _, o := range a.Report(&model.Report{Machine: "m", Addr: "x", Type: "g", Zone: "z", Session: 1, Seq: seq, Token: 7, Tasks: tasks}) {
+			switch o.Op {
+			case model.Start:
+				starts++
+			case model.Forget:
+				forgets++
+			}
+		}
+		return starts, forgets
+	}
+	count()
+	m := l.Machines["m"]
+	for i := range tasks {
+		l.Plan(l.Jobs["j-1"], i, 1, m).Durable = true
+	}
+	a.Push(m)
+	e.now += 10 * time.Millisecond
+	e.timers.Run(e.now)
+	if e.calls != 1 || len(m.Sent) != mostKept {
+		t.Fatalf("%d commands with %d starts, want one with %d", e.calls, len(m.Sent), mostKept)
+	}
+	var done []model.TaskReport
+	for i := range tasks {
+		if l.Jobs["j-1"].Tasks[i].P.SentAt > 0 {
+			done = append(done, model.TaskReport{Job: "j-1", Task: i, Attempt: 1, Phase: model.Exited, Cause: model.CauseDone})
+		}
+	}
+	rec.Final = ledger.Cancelled // nothing of it has to become durable any more
+	if n, _ := count(); n != tasks {
+		t.Errorf("%d starts in the answer to a report, want all %d", n, tasks)
+	}
+	l.JobEvent(ledger.JobKey("j-1"), &statestore.Item{Value: rec.Encode(), Stamp: 2})
+	if _, n := count(done...); n > 0 {
+		t.Errorf("%d attempts are forgotten of which copies may come", n)
+	}
+	e.now += copiesFor
+	if _, n := count(done...); n != mostKept {
+		t.Errorf("%d attempts are forgotten in the end, want %d", n, mostKept)
+	}
+	if len(m.Sent) > 0 {
+		t.Errorf("%d starts are remembered for ever", len(m.Sent))
+	}
+}
