--- a/internal/ledger/fault.go
+++ b/internal/ledger/fault.go
@@ -16,14 +16,22 @@
 	well   int               // tasks that ran elsewhere when the last one failed
 	trials int               // in vain since it was seen to be the job's fault
 	next   time.Duration     // the next trial
+	ran    time.Duration     // the longest that a task ran before it failed
 }
 
 const (
 	// A job is at fault when its tasks failed on so many machines, none done.
 	faultMachines = 2
-	// The pause between trials of a job at fault doubles from the one to the other.
+	// The pause between trials of a job at fault doubles from the one to the other. Faulty
+	// machines make healthy jobs look so, which must not wait for long once they are gone: the
+	// users bear 90 s beside a machine with room.
 	trialPause = 10 * time.Second
-	mostPause  = 5 * time.Minute
+	mostPause  = time.Minute
+	// When a trial has found no room for so long, a machine may be rented for it.
+	rentAfter = 5 * time.Minute
+	// A trial that has run for so many times as long as any task that failed, and so much
+	// longer, is well: a service is never done, and a long task's job need not wait for its end.
+	wellTimes, wellAfter = 2, 5 * time.Second
 )
 
 // Faulty reports whether the job itself seems to be at fault. It is then tried
@@ -41,12 +49,16 @@
 // Overdue reports whether a job at fault has found no room for a trial for so
 // long that a machine may be rented for it: there may be none left.
 func (j *Job) Overdue(now time.Duration) bool {
-	return j.Faulty() && j.Placed == 0 && now >= j.faults.next+mostPause
+	return j.Faulty() && j.Placed == 0 && now >= j.faults.next+rentAfter
 }
 
-// Failed notes that a task of the job ended with an error on the machine.
-func (l *Ledger) Failed(j *Job, m *Machine) {
+// Failed notes that a task of the job ended with an error.
+func (l *Ledger) Failed(p *Placement) {
+	j, m := p.Job, p.M
 	f := &j.faults
+	if p.RunSince > 0 {
+		f.ran = max(f.ran, l.env.Now()-p.RunSince)
+	}
 	was := j.Faulty()
 	if f.on == nil {
 		f.on = map[*Machine]bool{}
@@ -78,13 +90,21 @@
 	}
 }
 
+// Runs hears that a task runs still: one that has run for much longer than those that failed
+// shows that its job is well.
+func (l *Ledger) Runs(p *Placement) {
+	if f := &p.Job.faults; p.Job.Faulty() && p.RunSince > 0 && l.env.Now()-p.RunSince > wellTimes*f.ran+wellAfter {
+		l.Worked(p.Job)
+	}
+}
+
 // Worked notes that a task of the job was done, or has run as long as one that
 // was submitted with a mistake would not.
 func (l *Ledger) Worked(j *Job) {
 	if j.Faulty() {
 		l.env.Log().Info("job runs after all", "job", j.Spec.ID, "failures", j.faults.count)
 	}
-	j.faults.on, j.faults.well, j.faults.trials = nil, 0, 0
+	j.faults = faults{count: j.faults.count}
 }
 
 // Fault tells a user why a job that fails everywhere is tried seldom; "" for others.
--- a/internal/ledger/fault_test.go
+++ b/internal/ledger/fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"brooklb/internal/model"
 )
@@ -27,7 +28,7 @@
 		}
 		for _, p := range ps[:c.bad] {
 			p.Phase = model.Exited
-			l.Failed(j, p.M)
+			l.Failed(p)
 			l.Lost(p, model.CauseError)
 		}
 		if j.Faulty() != c.fault {
@@ -40,3 +41,40 @@
 		}
 	}
 }
+
+// TestTrialThatRuns guards against a job that is well, but was taken for one with a mistake
+// since machines were faulty, and whose trial has to be done first: a service's is never done,
+// and eleven of twelve instances waited for ever.
+func TestTrialThatRuns(t *testing.T) {
+	e, l := start(t, map[string]string{JobKey("j-1"): record("j-1", 12, 50, Open)})
+	j := l.Jobs["j-1"]
+	place := func(i int, attempt uint64) *Placement {
+		m := l.Machine(fmt.Sprintf("m%02d", i))
+		l.Describe(m, "g8", "z", false)
+		p := l.Plan(j, i, attempt, m)
+		p.Durable, p.Phase, p.RunSince = true, model.Running, e.now
+		return p
+	}
+	ps := []*Placement{place(0, 1), place(1, 1), place(2, 1)}
+	e.now += 4 * time.Second
+	for _, p := range ps {
+		l.Failed(p)
+		l.Lost(p, model.CauseError)
+	}
+	if !j.Faulty() {
+		t.Fatal("not at fault though it failed on three machines")
+	}
+	if wait := j.faults.next - e.now; wait > mostPause {
+		t.Errorf("the next trial comes in %v", wait)
+	}
+	p := place(0, 2)
+	for _, c := range []struct {
+		after time.Duration
+		fault bool
+	}{{3 * time.Second, true}, {12 * time.Second, true}, {14 * time.Second, false}} {
+		e.now = p.RunSince + c.after
+		if l.Runs(p); j.Faulty() != c.fault {
+			t.Errorf("a trial runs for %v, failures took 4 s: at fault %v", c.after, j.Faulty())
+		}
+	}
+}
--- a/internal/sim/restart_test.go
+++ b/internal/sim/restart_test.go
@@ -186,3 +186,56 @@
 		}
 	}
 }
+
+// TestRestartsWhileUsersCancel has controllers hand over and back, all end, and one return, each
+// within a second, while many jobs are cancelled, also just as they end, and their machines
+// hang: each user gets one final word, and what is cancelled is gone in time.
+func TestRestartsWhileUsersCancel(t *testing.T) {
+	final := 0
+	for _, s := range seeds(t, 8) {
+		w := world(7500 + s)
+		w.Balance()
+		w.Copies = 100
+		w.tookOver(t)
+		w.Workload(60, 150*time.Second)
+		w.CancelAtEnd(0.4, 220*time.Second)
+		for range 6 {
+			w.At(w.secs(20, 180), func() {
+				w.CancelNow(6, []time.Duration{0, w.secs(5, 29)}[w.rng.IntN(2)])
+				switch w.rng.IntN(3) {
+				case 0: // handed over and back
+					for k := range 3 {
+						w.after(time.Duration(k)*w.secs(0.1, 0.9), func() { w.Crash(max(0, w.Leader()), w.soon()) })
+					}
+				case 1: // all end, one returns first
+					first := w.rng.IntN(3)
+					for i := range w.nodes {
+						back := w.secs(1, 9)
+						if i == first {
+							back = w.soon()
+						}
+						w.Crash(i, back)
+					}
+				default:
+					for i := range w.nodes {
+						w.again(i, 3, w.soon(), w.secs(0.1, 1))
+					}
+				}
+			})
+		}
+		w.Calm = 240 * time.Second
+		w.Run(900 * time.Second)
+		w.verdict(t, 10)
+		for _, j := range w.jobs {
+			if j.cancelledAt > 0 {
+				final++
+			}
+			if j.toldDone && j.cancelledAt > 0 {
+				t.Errorf("seed %d: %s was called both done and cancelled", s, j.id)
+			}
+		}
+	}
+	if final < 100 {
+		t.Errorf("%d jobs were cancelled: the meeting did not come about", final)
+	}
+}
--- a/internal/workers/ends.go
+++ b/internal/workers/ends.go
@@ -34,7 +34,7 @@
 		if j.Spec.Kind == model.Service && p.RunSince > 0 && now-p.RunSince > time.Minute {
 			a.led.Worked(j)
 		}
-		a.blame(m, j)
+		a.blame(p)
 	case model.CauseAlone:
 		if a.again(p) {
 			return
@@ -97,9 +97,10 @@
 
 // blame finds out who is at fault for an error: a machine on which tasks of
 // several jobs fail, or a job that fails on several machines.
-func (a *Actor) blame(m *ledger.Machine, j *ledger.Job) {
-	a.led.Failed(j, m)
-	if j.Faulty() {
+func (a *Actor) blame(p *ledger.Placement) {
+	m := p.M
+	a.led.Failed(p)
+	if p.Job.Faulty() {
 		return
 	}
 	if m.Suspects() >= 2 {
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -181,6 +181,9 @@
 				j.Started = true
 			}
 		}
+		if t.Phase == model.Running {
+			a.led.Runs(p)
+		}
 		if t.Phase == model.Running || t.Phase == model.Waiting || t.Phase == model.Saving || t.Cause == model.CauseDone {
 			m.Images[j.Spec.Image] = now
 			m.ImageGB[j.Spec.Image] = j.Spec.ImageGB
