--- a/internal/sim/cancel_model_test.go
+++ b/internal/sim/cancel_model_test.go
@@ -7,7 +7,8 @@
 
 // The model of a cancellation and its deadline, in steps of time: the leader that the task's
 // worker reports to, one that may be elected after it, another node through which the user
-// cancels, and the state service, which serves all, refuses the leader, or is down for all.
+// cancels, and the state service, which serves all, refuses the leader, or is down for all. The
+// machine may hang at any time, and may reach no controller while commands reach it.
 
 // Times in steps. A lease runs from when the report was sent; the hold and the lease together
 // are as long as a cancellation has: whatever is there after more than cCancel steps was there
@@ -35,6 +36,7 @@
 	told     int8 // steps since the user was told, -1: not yet
 	elected  bool
 	running  bool
+	hung     bool // the machine hangs: its task neither goes on nor ends until it does
 	lease    int8 // steps left
 	token    int8 // that the worker has seen
 	leaders  [2]cLeader
@@ -48,6 +50,7 @@
 	clears bool // an answer of the others counts from its question
 	learns bool // and what they know is learned
 	all    bool // all others have to be heard
+	wakes  bool // a machine that goes on looks at its lease first
 }
 
 func (s cState) next(g cGuards, peers bool, do func(what string, n cState)) {
@@ -59,6 +62,12 @@
 		}
 	}
 	n := s
+	n.hung = !s.hung
+	if s.hung && s.lease == 0 && g.wakes {
+		n.running = false
+	}
+	do(map[bool]string{false: "hangs", true: "goes on"}[s.hung], n)
+	n = s
 	if peers {
 		n.otherCut = !s.otherCut
 		do("cut between the nodes", n)
@@ -123,7 +132,12 @@
 			}
 			do("hears the others", n)
 		}
-		if min(l.proof, l.clear) <= g.hold && int8(i) >= s.token { // a report is answered
+		if !s.hung && l.knows && g.order && int8(i) >= s.token { // one that reaches no controller hears it, too
+			n := s
+			n.running, n.token = false, int8(i)
+			do("a command to stop", n)
+		}
+		if !s.hung && min(l.proof, l.clear) <= g.hold && int8(i) >= s.token { // a report is answered
 			n := s
 			n.lease, n.token = cLease, int8(i)
 			if l.knows && g.order {
@@ -157,7 +171,7 @@
 		}
 	}
 	if n.lease--; n.lease <= 0 {
-		n.lease, n.running = 0, false
+		n.lease, n.running = 0, n.running && n.hung
 	}
 	do("a step", n)
 }
@@ -184,7 +198,7 @@
 			}
 			seen[n] = from{s, what}
 			queue = append(queue, n)
-			if n.running && n.told > cCancel {
+			if n.running && !n.hung && n.told > cCancel {
 				bad = &n
 			}
 		})
@@ -202,7 +216,7 @@
 // time, whatever the state service and the other nodes answer and when, and that it would not
 // be with any of the conditions taken out.
 func TestCancelModel(t *testing.T) {
-	all := cGuards{cHold, true, true, true, true, true}
+	all := cGuards{cHold, true, true, true, true, true, true}
 	const most = 4_000_000
 	for _, peers := range []bool{false, true} {
 		begun := time.Now()
@@ -223,6 +237,7 @@
 		{"orders to stop", false, func(g *cGuards) { g.order = false }},
 		{"counting the others' answers from the question", true, func(g *cGuards) { g.clears = false }},
 		{"learning what the others know", true, func(g *cGuards) { g.learns = false }},
+		{"a look at the lease when a machine goes on", false, func(g *cGuards) { g.wakes = false }},
 		{"hearing all others", true, func(g *cGuards) { g.all = false }},
 	} {
 		g := all
