--- a/internal/ledger/fault.go
+++ b/internal/ledger/fault.go
@@ -26,7 +26,7 @@
 	// machines make healthy jobs look so, which must not wait for long once they are gone: the
 	// users bear 90 s beside a machine with room.
 	trialPause = 10 * time.Second
-	mostPause  = time.Minute
+	mostPause  = 45 * time.Second
 	// When a trial has found no room for so long, a machine may be rented for it.
 	rentAfter = 5 * time.Minute
 	// A trial that has run for so many times as long as any task that failed, and so much
@@ -43,8 +43,11 @@
 func (j *Job) Faulty() bool { return len(j.faults.on) >= max(faultMachines, j.faults.well+1) }
 
 // Trial reports whether a job at fault may be tried now: one task of an array,
-// the whole of a gang.
-func (j *Job) Trial(now time.Duration) bool { return now >= j.faults.next && j.Placed == 0 }
+// the whole of a gang. A gang that lost a task during its trial gets another for it, or is
+// given up: the others waited for it in vain, twelve times 30 s.
+func (j *Job) Trial(now time.Duration) bool {
+	return now >= j.faults.next && j.Placed == 0 || j.Spec.Kind == model.Gang && j.Placed > 0
+}
 
 // Overdue reports whether a job at fault has found no room for a trial for so
 // long that a machine may be rented for it: there may be none left.
--- a/internal/ledger/fault_test.go
+++ b/internal/ledger/fault_test.go
@@ -78,3 +78,30 @@
 		}
 	}
 }
+
+// TestTrialOfAGang guards against a gang at fault that loses a task during its trial: it has to
+// be looked at again, or the others wait for the lost one until they give up.
+func TestTrialOfAGang(t *testing.T) {
+	e, l := start(t, map[string]string{JobKey("j-1"): record("j-1", 3, 50, Open)})
+	j := l.Jobs["j-1"]
+	j.Spec.Kind = model.Gang
+	for i := range 3 {
+		m := l.Machine(fmt.Sprintf("m%02d", i))
+		l.Describe(m, "g8", "z", false)
+		p := l.Plan(j, i, 1, m)
+		p.Durable, p.Phase = true, model.Running
+		l.Failed(p)
+		l.Lost(p, model.CauseError)
+	}
+	if !j.Faulty() || j.Trial(e.now) {
+		t.Fatalf("at fault %v, may be tried at once %v", j.Faulty(), j.Trial(e.now))
+	}
+	e.now += mostPause
+	if !j.Trial(e.now) {
+		t.Fatal("never tried")
+	}
+	l.Plan(j, 0, 2, l.Machine("m00"))
+	if !j.Trial(e.now) {
+		t.Error("what its trial lost is not replaced")
+	}
+}
