--- a/cmd/brooklb/main.go
+++ b/cmd/brooklb/main.go
@@ -99,6 +99,6 @@
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
 	c.AddCommand(&cobra.Command{Use: "version", Short: "print the version", Run: func(*cobra.Command, []string) { fmt.Println("brooklb", version) }})
 	c.AddCommand(userCommands()...)
-	c.AddCommand(rolloutCommand(), unitsCommand(), stateCommand(), devCommand())
+	c.AddCommand(rolloutCommand(), unitsCommand(), stateCommand(), devCommand(), scaleCommand())
 	return c
 }
--- /dev/null
+++ b/cmd/brooklb/scale.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"syscall"
+
+	"brooklb/internal/dev"
+	"brooklb/internal/scale"
+
+	"github.com/spf13/cobra"
+)
+
+// scaleFlags are the flags of a run.
+type scaleFlags struct {
+	fraction  float64
+	seed      uint64
+	simulated bool
+	json      string
+	logs      string
+}
+
+// scaleCommand runs a cluster of a planned size, or a fraction of it.
+func scaleCommand() *cobra.Command {
+	var f scaleFlags
+	c := &cobra.Command{
+		Use: "scale PROFILE", Short: "run a cluster of a planned size, or a fraction of it, under load on this computer, and report what it took",
+		Args: oneFile("PROFILE"),
+		RunE: func(c *cobra.Command, args []string) error { return runScale(c, args[0], f) },
+	}
+	c.Flags().Float64Var(&f.fraction, "fraction", 0.01, "part of the profile's size, above 0 and at most 1")
+	c.Flags().Uint64Var(&f.seed, "seed", 1, "seed of the stand-ins and the load")
+	c.Flags().BoolVar(&f.simulated, "simulated", false, "in one process and in simulated time, without sockets")
+	c.Flags().StringVar(&f.json, "json", "", "write the result to this file, too")
+	c.Flags().StringVar(&f.logs, "logs", "", "keep the controllers' settings and logs in this directory")
+	c.AddCommand(slopesCommand())
+	return c
+}
+
+// slopesCommand measures how the costs grow with one size at a time.
+func slopesCommand() *cobra.Command {
+	var out string
+	var parallel int
+	c := &cobra.Command{
+		Use: "slopes PROFILE", Short: "measure by series of small runs how the costs grow with each size",
+		Args: oneFile("PROFILE"),
+		RunE: func(c *cobra.Command, args []string) error {
+			if out == "" || parallel < 1 || parallel > 8 {
+				return usageError{errors.New("--out FILE is needed, --parallel is from 1 to 8")}
+			}
+			p, err := scale.LoadProfile(args[0])
+			if err != nil {
+				return err
+			}
+			return measureSlopes(c, p, args[0], out, parallel)
+		},
+	}
+	c.Flags().StringVar(&out, "out", "", "write the results to this file")
+	c.Flags().IntVar(&parallel, "parallel", 1, "runs at a time")
+	return c
+}
+
+func measureSlopes(c *cobra.Command, p *scale.Profile, profile, out string, parallel int) error {
+	self, err := os.Executable()
+	if err != nil {
+		return fmt.Errorf("slopes: %w", err)
+	}
+	dir, err := dev.Dir()
+	if err != nil {
+		return fmt.Errorf("slopes: %w", err)
+	}
+	defer os.RemoveAll(dir)
+	ctx, stop := signal.NotifyContext(c.Context(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	s, err := scale.MeasureSlopes(ctx, p, scale.SlopesOptions{Command: fmt.Sprintf("brooklb scale slopes %s --out %s --parallel %d", profile, out, parallel),
+		Self: func(ctx context.Context, args ...string) *exec.Cmd { return exec.CommandContext(ctx, self, args...) },
+		Dir:  dir, Parallel: parallel, Progress: c.ErrOrStderr()})
+	if s != nil {
+		if err := s.Save(out); err != nil {
+			return fmt.Errorf("slopes: --out: %w", err)
+		}
+	}
+	return err
+}
+
+// oneFile checks that there is one argument.
+func oneFile(name string) cobra.PositionalArgs {
+	return func(c *cobra.Command, args []string) error {
+		if len(args) != 1 {
+			return usageError{fmt.Errorf("%s takes one argument, %s", c.Name(), name)}
+		}
+		return nil
+	}
+}
+
+func runScale(c *cobra.Command, file string, f scaleFlags) error {
+	if !(f.fraction > 0 && f.fraction <= 1) {
+		return usageError{errors.New("--fraction: above 0 and at most 1")}
+	}
+	p, err := scale.LoadProfile(file)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(c.Context(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	r, err := scaleOnce(ctx, c, p, f)
+	if err != nil {
+		return fmt.Errorf("scale: %w", err)
+	}
+	if f.json != "" {
+		if err := r.Save(f.json); err != nil {
+			return fmt.Errorf("scale: --json: %w", err)
+		}
+	}
+	if err := r.Table(c.OutOrStdout()); err != nil {
+		return err
+	}
+	if n := len(r.Rules); n > 0 {
+		return fmt.Errorf("scale: %d rules of the protocol were broken", n)
+	}
+	return nil
+}
+
+func scaleOnce(ctx context.Context, c *cobra.Command, p *scale.Profile, f scaleFlags) (*scale.Result, error) {
+	o := scale.Options{Fraction: f.fraction, Seed: f.seed, Dir: f.logs, Progress: c.ErrOrStderr()}
+	if f.simulated {
+		return scale.RunSimulated(p, o)
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	o.Controller = func(file string) *exec.Cmd { return exec.Command(self, "--rollouts", "--units", "--config", file) }
+	if o.Dir == "" {
+		if o.Dir, err = dev.Dir(); err != nil {
+			return nil, err
+		}
+		defer os.RemoveAll(o.Dir)
+	} else if err := os.MkdirAll(o.Dir, 0o700); err != nil {
+		return nil, fmt.Errorf("--logs: %w", err)
+	}
+	return scale.Run(ctx, p, o)
+}
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -11,12 +11,15 @@
 	"io"
 	"log/slog"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"time"
 
 	"brooklb/internal/settings"
 	"brooklb/internal/sim"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
 // Config of a cluster.
@@ -31,6 +34,13 @@
 	Faults      *Faults
 	Users       int           // jobs that stand-in users submit
 	For         time.Duration // the cluster ends by itself
+	// World replaces the stand-ins' small cluster; nil: the one that Machines, Initial,
+	// BootS and Seed describe.
+	World *sim.Config
+	// Network has distances between places, nil: everything is near.
+	Network *Network
+	// Started hears of the cluster once its controllers are started, on the stand-ins' thread.
+	Started func(c *Cluster)
 	// Controller makes the command of a controller with the settings file.
 	Controller func(settingsFile string) *exec.Cmd
 	// Work is done beside the cluster, which ends when it returns; nil: none.
@@ -57,6 +67,13 @@
 	nodes []*controller
 	front int // the controller asked last
 	over  bool
+	// traffic counts what goes over each interface, links are the workers' connections,
+	// network carries what controllers say to each other (Config.Network).
+	traffic *Traffic
+	links   map[string]*workerLink
+	network *peerNetwork
+	users   *http.Client
+	lag     *hdrhistogram.Histogram // how late the stand-ins' events are, in microseconds
 }
 
 // errNet says that no part of the loopback network is free.
@@ -85,14 +102,25 @@
 	if err != nil {
 		return err
 	}
-	c := &Cluster{cfg: cfg, start: time.Now(), posts: make(chan func(), 4096), done: make(chan struct{}), net: n, ears: map[string]io.Closer{}}
-	c.world = sim.New(sim.Config{Seed: cfg.Seed, Nodes: cfg.Controllers, Zones: zones, Teams: teams, Capacity: cfg.Machines, Initial: cfg.Initial,
-		CPUs: 16, GPUs: 4, BootS: cfg.BootS, Outside: c, Net: n, Log: cfg.Log,
-		Objectives: []settings.Objective{{Kind: "wait", Class: "c-ensemble", WithinS: 30, Share: 0.9}}})
+	c := &Cluster{cfg: cfg, start: time.Now(), posts: make(chan func(), 4096), done: make(chan struct{}), net: n, ears: map[string]io.Closer{},
+		traffic: newTraffic(), links: map[string]*workerLink{}, lag: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)}
+	world := cfg.World
+	if world == nil {
+		world = &sim.Config{Seed: cfg.Seed, Zones: zones, Teams: teams, Capacity: cfg.Machines, Initial: cfg.Initial, CPUs: 16, GPUs: 4, BootS: cfg.BootS,
+			Objectives: []settings.Objective{{Kind: "wait", Class: "c-ensemble", WithinS: 30, Share: 0.9}}}
+	}
+	world.Nodes, world.Outside, world.Net, world.Log = cfg.Controllers, c, n, cfg.Log
+	c.world = sim.New(*world)
+	c.users = c.userClient()
 	defer c.end()
 	if err := c.open(); err != nil {
 		return err
 	}
+	if cfg.Network != nil {
+		if err := c.openPeerNetwork(); err != nil {
+			return err
+		}
+	}
 	for i, s := range c.world.Set {
 		k := &controller{c: c, i: i, set: s}
 		c.nodes = append(c.nodes, k)
@@ -110,7 +138,11 @@
 		onCluster(c)
 	}
 	c.plan()
-	c.welcome()
+	if cfg.Started != nil {
+		cfg.Started(c)
+	} else {
+		c.welcome()
+	}
 	ctx, stop := context.WithTimeout(ctx, cfg.For)
 	defer stop()
 	worked := make(chan error, 1)
@@ -123,6 +155,9 @@
 		worked <- nil
 	}
 	c.loop(ctx)
+	if cfg.Started != nil {
+		return <-worked
+	}
 	fmt.Fprintf(cfg.Out, "\nthe simulated cluster ends after %.0f s: %s\n", time.Since(c.start).Seconds(), c.world.Summary())
 	if n := len(c.world.Broken); n > 0 {
 		return fmt.Errorf("%d rules of the protocol were broken", n)
@@ -143,8 +178,14 @@
 func (c *Cluster) loop(ctx context.Context) {
 	t := time.NewTimer(0)
 	defer t.Stop()
+	due := time.Duration(0)
 	for {
-		next := c.world.Advance(time.Since(c.start))
+		now := time.Since(c.start)
+		if due > 0 && now > due {
+			_ = c.lag.RecordValue(min(int64((now-due)/time.Microsecond), c.lag.HighestTrackableValue()))
+		}
+		next := c.world.Advance(now)
+		due = next
 		t.Reset(max(time.Millisecond, next-time.Since(c.start)))
 		select {
 		case <-ctx.Done():
@@ -175,6 +216,12 @@
 	for _, e := range c.ears {
 		_ = e.Close()
 	}
+	for _, l := range c.links {
+		l.close()
+	}
+	if c.network != nil {
+		c.network.close()
+	}
 }
 
 // Dir makes a directory for a cluster's files.
--- a/internal/dev/faults.go
+++ b/internal/dev/faults.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
+	"brooklb/internal/settings"
 )
 
 // Faults is a file of troubles to play, at set times or from a seed.
@@ -40,8 +40,8 @@
 		return nil, fmt.Errorf("faults: %w", err)
 	}
 	var f Faults
-	if err := toml.Unmarshal(b, &f); err != nil {
-		return nil, fmt.Errorf("faults: %s: %s", file, strings.ReplaceAll(err.Error(), "\n", " "))
+	if err := settings.Decode(file, b, &f); err != nil {
+		return nil, fmt.Errorf("faults: %w", err)
 	}
 	for i, x := range f.Fault {
 		switch {
--- a/internal/dev/sockets.go
+++ b/internal/dev/sockets.go
@@ -30,6 +30,7 @@
 	if err != nil {
 		return fmt.Errorf("stand-in %s: %w", name, err)
 	}
+	ln = countingListener{ln, c.traffic.of(interfaceOf(name), controllerOf(name))}
 	s := &http.Server{Handler: h, ReadTimeout: longest, ReadHeaderTimeout: 10 * time.Second, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, 0)}
 	if old := c.ears[name]; old != nil {
 		_ = old.Close()
@@ -48,12 +49,12 @@
 
 // open opens the sockets of the state service, the cloud and the load balancer.
 func (c *Cluster) open() error {
-	for i, s := range c.world.Set {
+	for _, s := range c.world.Set {
 		from := s.Label
-		if err := c.hear(fmt.Sprint("state ", i), s.External.State, c.standIn("state", from)); err != nil {
+		if err := c.hear("state "+from, s.External.State, c.standIn("state", from)); err != nil {
 			return err
 		}
-		if err := c.hear(fmt.Sprint("cloud ", i), s.External.Cloud, c.standIn("cloud", from)); err != nil {
+		if err := c.hear("cloud "+from, s.External.Cloud, c.standIn("cloud", from)); err != nil {
 			return err
 		}
 	}
@@ -74,10 +75,14 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		c.traffic.of(interfaceOf(to), from).message()
 		who := from // "": some controller, which of them doesn't show
 		got := make(chan answer, 1)
 		reset := make(chan struct{}, 1)
 		c.post(func() {
+			if who == "" {
+				who = c.world.State.LeaderName() // only a leader calls workers
+			}
 			c.cross(who, to, reset, func() {
 				c.world.Ask(to, who, r.Method, r.URL.RequestURI(), body, func(status int, b []byte) {
 					c.cross(to, who, reset, func() { got <- answer{status, bytes.Clone(b)} })
@@ -104,8 +109,10 @@
 func (c *Cluster) cross(from, to string, reset chan struct{}, f func()) {
 	until, hold, cut := c.world.Between(from, to)
 	switch {
-	case !cut:
+	case !cut && c.cfg.Network == nil:
 		f()
+	case !cut:
+		c.world.At(c.world.Now()+c.cfg.Network.delay(c.world.Place(from), c.world.Place(to)), f)
 	case hold:
 		c.world.At(until, f)
 	default:
@@ -125,22 +132,62 @@
 		}
 	}
 	body := bytes.Clone(call.Body)
+	if d := c.distance(from, to); d > 0 {
+		finish := call.Done
+		call.Done = func(a actor.Answer) { c.world.At(c.world.Now()+d, func() { finish(a) }) }
+		c.world.At(c.world.Now()+d, func() { c.send(from, to, call, body) })
+		return
+	}
+	c.send(from, to, call, body)
+}
+
+func (c *Cluster) send(from, to string, call actor.Call, body []byte) {
 	finish := func(a actor.Answer) { c.post(func() { call.Done(a) }) }
 	if until, hold, cut := c.world.Between(from, to); cut && hold {
 		// It is given up by then; a report that comes late is as old as it is.
-		c.world.At(max(until, c.world.Now()), func() { c.do(call, body, func(actor.Answer) {}) })
+		c.world.At(max(until, c.world.Now()), func() { c.do(from, to, call, body, func(actor.Answer) {}) })
 		c.world.At(c.world.Now()+call.Timeout, func() { call.Done(actor.Answer{Err: actor.ErrNoAnswer}) })
 		return
 	} else if cut {
 		c.world.At(c.world.Now()+time.Millisecond, func() { call.Done(actor.Answer{Err: actor.ErrNotSent}) })
 		return
 	}
-	c.do(call, body, finish)
+	c.do(from, to, call, body, finish)
 }
 
 var web = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}}
 
-func (c *Cluster) do(call actor.Call, body []byte, done func(actor.Answer)) {
+// userClient is what users send requests with; their bytes are counted.
+func (c *Cluster) userClient() *http.Client {
+	labels := map[string]string{}
+	for _, s := range c.world.Set {
+		labels[s.Bind] = s.Label
+	}
+	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		var d net.Dialer
+		conn, err := d.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		count := c.traffic.of(Users, labels[addr])
+		return countingConn{conn, &count.toController, &count.fromController}, nil
+	}
+	return &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}}
+}
+
+func (c *Cluster) do(from, to string, call actor.Call, body []byte, done func(actor.Answer)) {
+	if from != "users" {
+		count := c.traffic.of(Reports, to)
+		count.message()
+		link := c.links[from]
+		if link == nil {
+			link = &workerLink{}
+			c.links[from] = link
+		}
+		go func() { done(link.roundTrip(call, body, count)) }()
+		return
+	}
+	c.traffic.of(Users, to).message()
 	go func() {
 		ctx, stop := context.WithTimeout(context.Background(), call.Timeout)
 		defer stop()
@@ -149,7 +196,7 @@
 			done(actor.Answer{Err: errors.Join(actor.ErrNotSent, err)})
 			return
 		}
-		resp, err := web.Do(req)
+		resp, err := c.users.Do(req)
 		if err != nil {
 			kind := actor.ErrNoAnswer
 			if errors.Is(err, syscall.ECONNREFUSED) {
@@ -176,7 +223,13 @@
 }
 
 // Gone implements sim.Outside.
-func (c *Cluster) Gone(m *sim.Machine) { c.deaf(m.Name) }
+func (c *Cluster) Gone(m *sim.Machine) {
+	c.deaf(m.Name)
+	if l := c.links[m.Name]; l != nil {
+		delete(c.links, m.Name)
+		go l.close()
+	}
+}
 
 // Listen implements sim.Outside: an instance of a service serves HTTP.
 func (c *Cluster) Listen(m *sim.Machine, instance string, port int) {
--- /dev/null
+++ b/internal/scale/fit.go
@@ -0,0 +1,141 @@
+package scale
+
+import (
+	"math"
+	"slices"
+
+	"brooklb/internal/dev"
+)
+
+// figure is something measured in a run that grows with the cluster's size.
+type figure struct {
+	name, unit string
+	of         func(r *Result) float64
+	digits     int
+}
+
+func (r *Result) role(role Role) RoleResult {
+	for _, x := range r.Roles {
+		if x.Role == role {
+			return x
+		}
+	}
+	return RoleResult{}
+}
+
+func figures() []figure {
+	leader := func(r *Result) RoleResult { return r.role(RoleLeader) }
+	other := func(r *Result) RoleResult { return r.role(RoleOther) }
+	both := func(x Rates) float64 { return (x.ToController + x.FromController) / 1000 }
+	return []figure{
+		{"leader, processor", "cores", func(r *Result) float64 { return leader(r).CPU }, 3},
+		{"leader, memory", "MB", func(r *Result) float64 { return leader(r).MemMB }, 1},
+		{"leader, sockets", "", func(r *Result) float64 { return leader(r).Sockets }, 0},
+		{"leader, reports", "/s", func(r *Result) float64 { return leader(r).Interfaces[dev.Reports].Messages }, 1},
+		{"leader, reports", "KB/s", func(r *Result) float64 { return both(leader(r).Interfaces[dev.Reports]) }, 1},
+		{"leader, direct orders", "/s", func(r *Result) float64 { return leader(r).Interfaces[dev.Orders].Messages }, 1},
+		{"leader, direct orders", "KB/s", func(r *Result) float64 { return both(leader(r).Interfaces[dev.Orders]) }, 1},
+		{"leader, state service", "KB/s", func(r *Result) float64 { return both(leader(r).Interfaces[dev.State]) }, 1},
+		{"leader, peers", "KB/s", func(r *Result) float64 { return both(leader(r).Interfaces[dev.Peers]) }, 1},
+		{"leader, cloud", "calls/s", func(r *Result) float64 { return leader(r).Interfaces[dev.Cloud].Messages }, 2},
+		{"leader, cloud", "KB/s", func(r *Result) float64 { return both(leader(r).Interfaces[dev.Cloud]) }, 1},
+		{"other controller, processor", "cores", func(r *Result) float64 { return other(r).CPU }, 3},
+		{"other controller, memory", "MB", func(r *Result) float64 { return other(r).MemMB }, 1},
+		{"other controller, sockets", "", func(r *Result) float64 { return other(r).Sockets }, 0},
+		{"other controller, users", "/s", func(r *Result) float64 { return other(r).Interfaces[dev.Users].Messages }, 1},
+		{"other controller, users", "KB/s", func(r *Result) float64 { return both(other(r).Interfaces[dev.Users]) }, 1},
+		{"other controller, state service", "KB/s", func(r *Result) float64 { return both(other(r).Interfaces[dev.State]) }, 1},
+		{"other controller, peers", "/s", func(r *Result) float64 { return other(r).Interfaces[dev.Peers].Messages }, 1},
+		{"other controller, peers", "KB/s", func(r *Result) float64 { return both(other(r).Interfaces[dev.Peers]) }, 1},
+		{"state service, requests", "/s", func(r *Result) float64 { return r.State.Requests }, 1},
+		{"state service, changes", "/s", func(r *Result) float64 { return r.State.Changes }, 1},
+		{"state service, keys", "", func(r *Result) float64 { return float64(r.State.Keys) }, 0},
+		{"state service, in", "KB/s", func(r *Result) float64 { return r.State.In / 1000 }, 1},
+		{"state service, out", "KB/s", func(r *Result) float64 { return r.State.Out / 1000 }, 1},
+		{"a worker's messages", "B/s", func(r *Result) float64 { return r.Worker.BytesPerS }, 0},
+		{"a hollow worker, processor", "% of a core", func(r *Result) float64 { return r.Worker.CPUPercent }, 3},
+		{"a hollow worker, memory", "MB", func(r *Result) float64 { return r.Worker.MemMB }, 3},
+		{"urgent start, p99", "s", func(r *Result) float64 { return r.Urgent.P99 }, 2},
+	}
+}
+
+// fit is a straight line through measured points.
+type fit struct {
+	slope, base float64
+	residual    float64 // the largest distance of a point from the line
+	from, to    float64 // where it was measured
+}
+
+// fitLine finds the line of least squares.
+func fitLine(xs, ys []float64) fit {
+	n := float64(len(xs))
+	var sx, sy, sxx, sxy float64
+	for i := range xs {
+		sx, sy = sx+xs[i], sy+ys[i]
+		sxx, sxy = sxx+xs[i]*xs[i], sxy+xs[i]*ys[i]
+	}
+	f := fit{from: slices.Min(xs), to: slices.Max(xs)}
+	if d := n*sxx - sx*sx; d != 0 {
+		f.slope = (n*sxy - sx*sy) / d
+	}
+	f.base = (sy - f.slope*sx) / n
+	for i := range xs {
+		f.residual = max(f.residual, math.Abs(ys[i]-f.base-f.slope*xs[i]))
+	}
+	return f
+}
+
+// series is what was measured of a figure while one variable was varied.
+func (s *Slopes) series(v Variable, of func(*Result) float64) (xs, ys []float64) {
+	for _, p := range s.Points {
+		if p.Variable == v && p.Result != nil {
+			xs, ys = append(xs, p.X), append(ys, of(p.Result))
+		}
+	}
+	return xs, ys
+}
+
+// scatter is the mean and the largest distance from it of a figure in the runs of the
+// middle.
+func (s *Slopes) scatter(of func(*Result) float64) (mean, most float64) {
+	_, ys := s.series("", of)
+	for _, y := range ys {
+		mean += y / float64(len(ys))
+	}
+	for _, y := range ys {
+		most = max(most, math.Abs(y-mean))
+	}
+	return mean, most
+}
+
+// sizes are a profile's values of the variables.
+func (p *Profile) sizes() map[Variable]float64 {
+	l := &p.Load
+	return map[Variable]float64{VaryWorkers: float64(p.Cluster.Workers), VaryTasks: float64(l.RunningTasks), VaryStarts: l.StartsPerS,
+		VaryJobs: l.batchJobsPerS() + l.UrgentPerS + l.GangsPerMinute/60, VaryTeams: float64(p.Cluster.Teams), VaryGang: float64(l.GangTasks),
+		VaryEnded: float64(l.EndedJobs), VaryChanges: l.ChangesPerDay, VaryControllers: float64(p.Cluster.Controllers)}
+}
+
+// estimate adds up, from the middle, what each variable's slope gives at another size. A
+// slope that is no larger than the scatter counts as none.
+func (s *Slopes) estimate(of func(*Result) float64, at *Profile) float64 {
+	sum, scatter := s.scatter(of)
+	from, to := s.Base.sizes(), at.sizes()
+	for _, t := range allSeries() {
+		if f, ok := s.significant(t.variable, of, scatter); ok {
+			sum += f.slope * (to[t.variable] - from[t.variable])
+		}
+	}
+	return max(0, sum)
+}
+
+// significant is the line of a variable; false if the figure moves over the whole series by
+// no more than twice the scatter of equal runs and the distance of its points.
+func (s *Slopes) significant(v Variable, of func(*Result) float64, scatter float64) (fit, bool) {
+	xs, ys := s.series(v, of)
+	if len(xs) < 2 {
+		return fit{}, false
+	}
+	f := fitLine(xs, ys)
+	return f, math.Abs(f.slope)*(f.to-f.from) > 2*max(scatter, f.residual)
+}
--- /dev/null
+++ b/internal/scale/result.go
@@ -0,0 +1,250 @@
+package scale
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"math"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"brooklb/internal/dev"
+	"brooklb/internal/sim"
+)
+
+// Mode says how a run was made.
+type Mode string
+
+// The modes.
+const (
+	Loopback  Mode = "loopback"  // processes on loopback sockets, in real time
+	Simulated Mode = "simulated" // all in one process, in simulated time
+)
+
+// Role is what a controller does.
+type Role string
+
+// The roles of controllers.
+const (
+	RoleLeader Role = "leader"
+	RoleOther  Role = "other"
+)
+
+// Rates are what goes over an interface each second.
+type Rates struct {
+	Messages       float64 `json:"messages_per_s"`
+	ToController   float64 `json:"bytes_per_s_to_controller"`
+	FromController float64 `json:"bytes_per_s_from_controller"`
+}
+
+// RoleResult is what the controllers of a role used, each.
+type RoleResult struct {
+	Role       Role                    `json:"role"`
+	Processes  int                     `json:"processes"`
+	CPU        float64                 `json:"cpu_cores_mean"`
+	CPUMost    float64                 `json:"cpu_cores_most"`
+	MemMB      float64                 `json:"mem_mb_mean"`
+	MemMostMB  float64                 `json:"mem_mb_peak"`
+	Sockets    float64                 `json:"sockets_mean"`
+	SocketsMax int                     `json:"sockets_most"`
+	Interfaces map[dev.Interface]Rates `json:"interfaces"` // mean of a process
+}
+
+// StateResult is what the state service was asked.
+type StateResult struct {
+	Requests float64 `json:"requests_per_s"`
+	Changes  float64 `json:"changes_per_s"`
+	Refused  float64 `json:"refused_per_s"` // over its limits
+	In       float64 `json:"bytes_per_s_in"`
+	Out      float64 `json:"bytes_per_s_out"`
+	Keys     int     `json:"keys"`
+}
+
+// WorkerResult is what the control of one worker takes.
+type WorkerResult struct {
+	BytesPerS float64 `json:"bytes_per_s"`
+	Reports   float64 `json:"reports_per_s"`
+	Orders    float64 `json:"direct_orders_per_s"`
+	// The hollow workers' process runs all stand-ins: an upper bound.
+	CPUPercent float64 `json:"cpu_percent_of_a_core"`
+	MemMB      float64 `json:"mem_mb"`
+}
+
+// ConfigResult is how changes of configuration came into force.
+type ConfigResult struct {
+	Changes int     `json:"changes"`
+	InForce Latency `json:"in_force_at_the_last_controller"` // of those that were followed
+	Unseen  int     `json:"not_in_force_in_time"`
+	Missing string  `json:"missing,omitempty"`
+}
+
+// Result of a run.
+type Result struct {
+	Mode         Mode         `json:"mode"`
+	Fraction     float64      `json:"fraction"`
+	Seed         uint64       `json:"seed"`
+	Profile      *Profile     `json:"profile"`
+	Seconds      float64      `json:"measured_s"`
+	Start, End   sim.Census   `json:"-"`
+	AtStart      sim.Census   `json:"at_start_of_measuring"`
+	AtEnd        sim.Census   `json:"at_end"`
+	StartsPerS   []float64    `json:"starts_per_s_by_window"`
+	StartsMean   float64      `json:"starts_per_s"`
+	Urgent       Latency      `json:"urgent_start"`
+	UrgentRuns   Latency      `json:"urgent_runs"`
+	Batch        Latency      `json:"batch_start"`
+	Gangs        Latency      `json:"gang_runs"`
+	Accepted     Latency      `json:"accepted"`
+	Config       ConfigResult `json:"config"`
+	Roles        []RoleResult `json:"roles"`
+	State        StateResult  `json:"state"`
+	Worker       WorkerResult `json:"worker"`
+	KilledLeases int          `json:"tasks_killed_by_leases"`
+	Troubles     []string     `json:"troubles,omitempty"`
+	Rules        []string     `json:"rules_broken"`
+	LeaderStayed bool         `json:"leader_stayed"` // one controller led all the time
+	// What the run itself took.
+	StandInsCPU   float64 `json:"stand_ins_cpu_cores"`
+	StandInsLagMS float64 `json:"stand_ins_lag_p99_ms"`
+	RunMemGB      float64 `json:"run_mem_gb_peak"`
+	RunProcesses  int     `json:"run_processes"`
+	WallSeconds   float64 `json:"wall_s"`
+}
+
+// missingConfig says which configuration has no way to come into force while running.
+const missingConfig = "team limits and guarantees: missing, they are read when a controller starts"
+
+func newResult(mode Mode, p *Profile, fraction float64, seed uint64, m *measures) *Result {
+	r := &Result{Mode: mode, Fraction: fraction, Seed: seed, Profile: p, Seconds: p.Run.MeasureS, StartsPerS: m.startsPerS(),
+		Urgent: m.urgent.latency(), UrgentRuns: m.urgentRuns.latency(), Batch: m.batch.latency(), Gangs: m.gangs.latency(), Accepted: m.accepted.latency(),
+		Config: ConfigResult{m.changes, m.config.latency(), m.unseen, missingConfig}, Rules: slices.Clone(m.w.Broken), KilledLeases: m.w.KilledByLease}
+	n := 0
+	for _, k := range m.windows {
+		n += k
+	}
+	r.StartsMean = float64(n) / r.Seconds
+	return r
+}
+
+// Save writes the result as JSON.
+func (r *Result) Save(file string) error {
+	b, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		return fmt.Errorf("result: %w", err)
+	}
+	return os.WriteFile(file, append(b, '\n'), 0o644)
+}
+
+// LoadResult reads a result that Save has written.
+func LoadResult(file string) (*Result, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("result: %w", err)
+	}
+	var r Result
+	if err := json.Unmarshal(b, &r); err != nil || r.Profile == nil {
+		return nil, fmt.Errorf("result: %s: not the result of a run", file)
+	}
+	return &r, nil
+}
+
+// row is a line of the table: what, its value and its budget.
+type row struct{ what, value, budget string }
+
+// rows are the table's lines.
+func (r *Result) rows() []row {
+	b := &r.Profile.Budget
+	rows := []row{
+		{"workers up", fmt.Sprintf("%d, %d at the end", r.AtStart.Workers, r.AtEnd.Workers), fmt.Sprint(r.Profile.Cluster.Workers)},
+		{"tasks running", fmt.Sprintf("%d, %d at the end", r.AtStart.Running, r.AtEnd.Running), fmt.Sprint(r.Profile.Load.RunningTasks)},
+		{"starts a second", fmt.Sprintf("%.0f; by 10 s: %s", r.StartsMean, floats(r.StartsPerS)), fmt.Sprintf("%.0f asked for", r.Profile.Load.StartsPerS)},
+		{"urgent, to the start", r.Urgent.String(), fmt.Sprintf("%.1f s", b.UrgentStartS)},
+		{"urgent, to running", r.UrgentRuns.String(), ""},
+		{"batch, to the start", r.Batch.String(), ""},
+		{fmt.Sprintf("gangs of %d, to running", r.Profile.Load.GangTasks), r.Gangs.String(), ""},
+		{"submissions, to acceptance", r.Accepted.String(), ""},
+		{"configuration, in force at the last controller", fmt.Sprintf("counted resources: %s, not in time: %d; %s", r.Config.InForce, r.Config.Unseen, r.Config.Missing), fmt.Sprintf("%.0f s", b.ConfigS)},
+	}
+	for _, x := range r.Roles {
+		rows = append(rows, r.roleRow(x))
+	}
+	s := &r.State
+	rows = append(rows,
+		row{"state service", fmt.Sprintf("%.0f requests, %.0f changes, %.1f refused a second; %.0f KB/s in, %.0f KB/s out; %d keys", s.Requests, s.Changes, s.Refused, s.In/1000, s.Out/1000, s.Keys),
+			fmt.Sprintf("%.0f requests, %.0f changes", r.Profile.State.RPS, r.Profile.State.WriteRPS)})
+	if r.Mode == Loopback {
+		w := &r.Worker
+		rows = append(rows,
+			row{"a worker's bytes", fmt.Sprintf("%.0f B/s (%.2f reports, %.2f direct orders a second)", w.BytesPerS, w.Reports, w.Orders), fmt.Sprintf("%.0f B/s", b.WorkerBytesPerS)},
+			row{"a hollow worker, all stand-ins counted", fmt.Sprintf("%.2f%% of a core, %.2f MB", w.CPUPercent, w.MemMB), fmt.Sprintf("%.1f%%, %.0f MB", b.WorkerCPUPercent, b.WorkerMemMB)})
+	}
+	return append(rows,
+		row{"tasks killed by leases", fmt.Sprint(r.KilledLeases), ""},
+		row{"troubles", cmpOr(strings.Join(r.Troubles, "; "), "none"), ""},
+		row{"rules broken", fmt.Sprint(len(r.Rules)), "0"},
+		row{"the run itself", fmt.Sprintf("%.0f s, %d processes, %.1f GB; stand-ins %.2f cores, %.0f ms late (p99)", r.WallSeconds, r.RunProcesses, r.RunMemGB, r.StandInsCPU, r.StandInsLagMS),
+			fmt.Sprintf("%d processes, %.0f GB", b.RunProcesses, b.RunMemGB)})
+}
+
+func (r *Result) roleRow(x RoleResult) row {
+	name := string(x.Role)
+	if !r.LeaderStayed && x.Role == RoleLeader {
+		name += " (at the end; it changed)"
+	}
+	value := fmt.Sprintf("%d: %.3f cores (most %.3f)", x.Processes, x.CPU, x.CPUMost)
+	if r.Mode == Loopback {
+		value += fmt.Sprintf(", %.0f MB (peak %.0f), %.0f sockets (most %d)", x.MemMB, x.MemMostMB, x.Sockets, x.SocketsMax)
+	}
+	for _, i := range slices.Sorted(maps.Keys(x.Interfaces)) {
+		f := x.Interfaces[i]
+		value += fmt.Sprintf("; %s %.0f/s, %.1f + %.1f KB/s", i, f.Messages, f.ToController/1000, f.FromController/1000)
+	}
+	c := &r.Profile.Controller
+	return row{"controller, " + name, value, fmt.Sprintf("%.2f cores, %.0f MB, %d sockets", c.CPUShare, c.MemMB, c.Sockets)}
+}
+
+// Table writes the result for a person.
+func (r *Result) Table(w io.Writer) error {
+	fmt.Fprintf(w, "%s run at fraction %g, %.0f s measured after %.0f s\n\n", r.Mode, r.Fraction, r.Seconds, r.Profile.Run.SettleS)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, x := range r.rows() {
+		fmt.Fprintf(t, "%s\t%s\t%s\n", x.what, x.value, x.budget)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, b := range r.Rules[:min(len(r.Rules), 20)] {
+		fmt.Fprintln(w, "RULE BROKEN:", b)
+	}
+	return nil
+}
+
+func (l Latency) String() string {
+	if l.Count == 0 {
+		return "none"
+	}
+	return fmt.Sprintf("p50 %.2f, p99 %.2f, max %.2f s of %d", l.P50, l.P99, l.Max, l.Count)
+}
+
+func floats(xs []float64) string {
+	var out []string
+	for _, x := range xs {
+		out = append(out, fmt.Sprintf("%.0f", x))
+	}
+	return strings.Join(out, " ")
+}
+
+func cmpOr(s, other string) string {
+	if s == "" {
+		return other
+	}
+	return s
+}
+
+func round(x float64, digits int) float64 {
+	f := math.Pow10(digits)
+	return math.Round(x*f) / f
+}
--- /dev/null
+++ b/internal/scale/slopes.go
@@ -0,0 +1,183 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Variable is what a series of runs varies, everything else being equal.
+type Variable string
+
+// The variables.
+const (
+	VaryWorkers     Variable = "workers"
+	VaryTasks       Variable = "running tasks"
+	VaryStarts      Variable = "starts a second"
+	VaryJobs        Variable = "jobs a second"
+	VaryTeams       Variable = "teams"
+	VaryGang        Variable = "tasks of a gang"
+	VaryEnded       Variable = "ended jobs"
+	VaryChanges     Variable = "configuration changes a day"
+	VaryControllers Variable = "controllers"
+)
+
+// series is one variable with its sizes, which span a factor of eight.
+type series struct {
+	variable Variable
+	sizes    []float64
+	set      func(p *Profile, x float64)
+}
+
+// baseProfile is the middle from which each series leaves.
+func baseProfile(whole *Profile) *Profile {
+	p := *whole
+	p.Troubles = nil
+	p.Cluster.Workers, p.Cluster.Controllers, p.Cluster.Teams = 400, 3, 45
+	p.State.RPS, p.State.WriteRPS, p.Cloud.RPS = 3000, 1000, 20
+	l := &p.Load
+	l.RunningTasks, l.StartsPerS, l.TasksPerJob = 4800, 50, 25
+	l.UrgentPerS, l.GangsPerMinute, l.GangTasks, l.GangRunS, l.CancelShare = 2, 12, 16, 10, 0
+	l.EndedJobs = 0
+	p.Run = Timing{SettleS: 30, MeasureS: 25}
+	return &p
+}
+
+func allSeries() []series {
+	return []series{
+		{VaryWorkers, []float64{200, 400, 800, 1600}, func(p *Profile, x float64) { p.Cluster.Workers = int(x) }},
+		{VaryTasks, []float64{2400, 4800, 9600, 19200}, func(p *Profile, x float64) { p.Load.RunningTasks = int(x) }},
+		{VaryStarts, []float64{25, 50, 100, 200}, func(p *Profile, x float64) {
+			// The number of jobs stays.
+			p.Load.StartsPerS, p.Load.TasksPerJob = x, int(x/2)
+		}},
+		{VaryJobs, []float64{1, 2, 4, 8}, func(p *Profile, x float64) { p.Load.TasksPerJob = int(50 / x) }},
+		{VaryTeams, []float64{45, 90, 180, 360}, func(p *Profile, x float64) { p.Cluster.Teams = int(x) }},
+		{VaryGang, []float64{8, 16, 32, 64}, func(p *Profile, x float64) { p.Load.GangTasks = int(x) }},
+		{VaryEnded, []float64{12500, 25000, 50000, 100000}, func(p *Profile, x float64) { p.Load.EndedJobs = int(x) }},
+		{VaryChanges, []float64{23500, 47000, 94000, 188000}, func(p *Profile, x float64) { p.Load.ChangesPerDay = x }},
+		{VaryControllers, []float64{3, 6, 12, 24}, func(p *Profile, x float64) { p.Cluster.Controllers = int(x) }},
+	}
+}
+
+// baseRuns is how often the middle is run, for the scatter.
+const baseRuns = 4
+
+// Point is one run of a series.
+type Point struct {
+	Variable Variable `json:"variable"` // "": the middle
+	X        float64  `json:"x"`
+	Result   *Result  `json:"result"`
+}
+
+// Slopes is the output of a whole set of series.
+type Slopes struct {
+	Command string    `json:"command"`
+	Taken   time.Time `json:"taken"`
+	Base    *Profile  `json:"base"`
+	Points  []Point   `json:"points"`
+}
+
+// SlopesOptions say how series are run.
+type SlopesOptions struct {
+	Command string
+	// Self runs this program with arguments.
+	Self     func(ctx context.Context, args ...string) *exec.Cmd
+	Dir      string // for profiles and results
+	Parallel int    // runs at a time
+	Progress io.Writer
+}
+
+// runStagger keeps runs that begin at a time from taking the same addresses.
+const runStagger = 3 * time.Second
+
+// MeasureSlopes runs all series, each run in a process of its own.
+func MeasureSlopes(ctx context.Context, whole *Profile, o SlopesOptions) (*Slopes, error) {
+	base := baseProfile(whole)
+	s := &Slopes{Command: o.Command, Taken: time.Now().UTC().Truncate(time.Second), Base: base}
+	var profiles []*Profile
+	add := func(v Variable, x float64, p *Profile) {
+		s.Points = append(s.Points, Point{Variable: v, X: x})
+		profiles = append(profiles, p)
+	}
+	for range baseRuns {
+		add("", 0, base)
+	}
+	for _, t := range allSeries() {
+		for _, x := range t.sizes {
+			p := *base
+			t.set(&p, x)
+			add(t.variable, x, &p)
+		}
+	}
+	slots := make(chan struct{}, max(1, o.Parallel))
+	failures := make([]error, len(profiles))
+	var running sync.WaitGroup
+	for i, p := range profiles {
+		slots <- struct{}{}
+		running.Go(func() {
+			defer func() { <-slots }()
+			s.Points[i].Result, failures[i] = runChild(ctx, p, i, o)
+			fmt.Fprintf(o.Progress, "%d of %d: %s %g: %v\n", i+1, len(profiles), s.Points[i].Variable, s.Points[i].X, errOrDone(failures[i]))
+		})
+		time.Sleep(runStagger)
+	}
+	running.Wait()
+	return s, errors.Join(failures...)
+}
+
+func errOrDone(err error) string {
+	if err != nil {
+		return err.Error()
+	}
+	return "done"
+}
+
+func runChild(ctx context.Context, p *Profile, i int, o SlopesOptions) (*Result, error) {
+	b, err := toml.Marshal(p)
+	if err != nil {
+		return nil, err
+	}
+	profile := filepath.Join(o.Dir, fmt.Sprintf("run-%02d.toml", i))
+	result := filepath.Join(o.Dir, fmt.Sprintf("run-%02d.json", i))
+	if err := os.WriteFile(profile, b, 0o600); err != nil {
+		return nil, err
+	}
+	out, err := o.Self(ctx, "scale", profile, "--fraction", "1", "--seed", strconv.Itoa(i+1), "--json", result).CombinedOutput()
+	if err != nil {
+		return nil, fmt.Errorf("run %d: %w: %s", i+1, err, out)
+	}
+	return LoadResult(result)
+}
+
+// Save writes the output as JSON.
+func (s *Slopes) Save(file string) error {
+	b, err := json.MarshalIndent(s, "", " ")
+	if err != nil {
+		return fmt.Errorf("slopes: %w", err)
+	}
+	return os.WriteFile(file, append(b, '\n'), 0o644)
+}
+
+// LoadSlopes reads what Save has written.
+func LoadSlopes(file string) (*Slopes, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("slopes: %w", err)
+	}
+	var s Slopes
+	if err := json.Unmarshal(b, &s); err != nil || s.Base == nil {
+		return nil, fmt.Errorf("slopes: %s: not the output of a set of series", file)
+	}
+	return &s, nil
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,6 +2,7 @@
 package settings
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"net"
@@ -92,24 +93,8 @@
 // Parse is Load for content at hand; name is used in errors.
 func Parse(name string, b []byte) (*Settings, error) {
 	var s Settings
-	if err := toml.Unmarshal(b, &s); err != nil {
-		if de, ok := err.(*toml.DecodeError); ok {
-			row, col := de.Position()
-			field := ""
-			for i, k := range de.Key() {
-				if i > 0 {
-					field += "."
-				}
-				field += k
-			}
-			// The library names Go's own types at length.
-			reason, rest, found := strings.Cut(strings.TrimPrefix(de.Error(), "toml: "), " into struct field")
-			if i := strings.LastIndex(rest, " of type "); found && i >= 0 {
-				reason += " as " + rest[i+len(" of type "):]
-			}
-			return nil, fmt.Errorf("settings: %s:%d:%d: field %s: %s", name, row, col, field, reason)
-		}
-		return nil, fmt.Errorf("settings: %s: %w", name, err)
+	if err := Decode(name, b, &s); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
 	}
 	if err := s.check(); err != nil {
 		return nil, fmt.Errorf("settings: %s: %w", name, err)
@@ -117,6 +102,26 @@
 	return &s, nil
 }
 
+// Decode reads TOML into a value. The error names the file, the place, the field and the
+// reason in one line.
+func Decode(name string, b []byte, into any) error {
+	err := toml.Unmarshal(b, into)
+	if err == nil {
+		return nil
+	}
+	var de *toml.DecodeError
+	if !errors.As(err, &de) {
+		return fmt.Errorf("%s: %s", name, strings.ReplaceAll(err.Error(), "\n", " "))
+	}
+	row, col := de.Position()
+	// The library names Go's own types at length.
+	reason, rest, found := strings.Cut(strings.TrimPrefix(de.Error(), "toml: "), " into struct field")
+	if i := strings.LastIndex(rest, " of type "); found && i >= 0 {
+		reason += " as " + rest[i+len(" of type "):]
+	}
+	return fmt.Errorf("%s:%d:%d: field %s: %s", name, row, col, strings.Join(de.Key(), "."), reason)
+}
+
 func addr(field, v string) error {
 	if v == "" {
 		return fmt.Errorf("field %s: missing", field)
--- a/internal/sim/cloud.go
+++ b/internal/sim/cloud.go
@@ -41,11 +41,22 @@
 
 type snapshot struct {
 	at   time.Duration
-	list []map[string]any
+	list []listedMachine
+}
+
+// listedMachine is a machine as the list shows it.
+type listedMachine struct {
+	Ref     string  `json:"ref"`
+	Address string  `json:"address"`
+	Type    string  `json:"hull"`
+	Zone    string  `json:"yard"`
+	Spot    bool    `json:"loaners"`
+	Phase   string  `json:"phase"`
+	HeldS   float64 `json:"held_s"`
 }
 
 func newCloud(w *World) *Cloud {
-	c := &Cloud{w: w, machines: map[string]*Machine{}, byAddr: map[string]*Machine{}, byHost: map[string]*Machine{}, charters: map[string][]byte{}, bucket: 8}
+	c := &Cloud{w: w, machines: map[string]*Machine{}, byAddr: map[string]*Machine{}, byHost: map[string]*Machine{}, charters: map[string][]byte{}, bucket: 2 * w.cfg.CloudRPS}
 	c.snap()
 	return c
 }
@@ -74,8 +85,7 @@
 		} else if !m.up {
 			ph = "starting"
 		}
-		s.list = append(s.list, map[string]any{"ref": n, "address": m.Addr, "hull": "big", "yard": m.Zone, "loaners": m.Spot, "phase": ph,
-			"held_s": (c.w.now - m.born).Seconds()})
+		s.list = append(s.list, listedMachine{n, m.Addr, "big", m.Zone, m.Spot, ph, (c.w.now - m.born).Seconds()})
 		if m.up && !m.gone {
 			c.Cost++
 		}
@@ -143,7 +153,7 @@
 
 func (c *Cloud) serve(_, method, path string, body []byte, reply func(int, []byte)) {
 	w := c.w
-	c.bucket = min(8, c.bucket+(w.now-c.last).Seconds()*4)
+	c.bucket = min(2*w.cfg.CloudRPS, c.bucket+(w.now-c.last).Seconds()*w.cfg.CloudRPS)
 	c.last = w.now
 	if c.bucket < 1 {
 		c.Limited++
@@ -221,10 +231,10 @@
 				s = x
 			}
 		}
-		out := []map[string]any{}
+		out := []listedMachine{}
 		more := false
 		for _, x := range s.list {
-			if x["ref"].(string) <= from {
+			if x.Ref <= from {
 				continue
 			}
 			if len(out) == most {
@@ -237,7 +247,7 @@
 			out, more = s.list[:min(most, len(s.list))], true
 		}
 		if c.Shuffle && len(out) > 0 {
-			out = append(append([]map[string]any(nil), out...), out[w.rng.IntN(len(out))])
+			out = append(append([]listedMachine(nil), out...), out[w.rng.IntN(len(out))])
 			w.rng.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
 		}
 		reply(200, mustJSON(map[string]any{"hosts": out, "has_next": more}))
--- a/internal/sim/confirmed_test.go
+++ b/internal/sim/confirmed_test.go
@@ -162,7 +162,7 @@
 
 // onMachines is how many of the job's tasks are on a machine.
 func (j *userJob) onMachines(w *World) (n int) {
-	for _, r := range j.runners(w) {
+	for _, r := range j.runners() {
 		if r.onMachine() {
 			n++
 		}
@@ -213,7 +213,7 @@
 					t.Errorf("seed %d: %s", seed, b)
 				}
 				longest, ran = max(longest, w.LongestCancelled), ran+n
-				for _, r := range w.jobs["j-5"].runners(w) {
+				for _, r := range w.jobs["j-5"].runners() {
 					if r.phase == "running" {
 						kept++
 					}
--- a/internal/sim/gang.go
+++ b/internal/sim/gang.go
@@ -49,6 +49,7 @@
 	}
 	for _, x := range g.members() {
 		x.phase, x.from = "running", w.now
+		w.tell(TaskRunning, x)
 		x.ends++
 		x.m.changed()
 	}
--- a/internal/sim/machine.go
+++ b/internal/sim/machine.go
@@ -92,10 +92,13 @@
 
 func (m *Machine) kill() {
 	for _, r := range m.sorted() {
-		delete(m.tasks, r.key)
+		m.forget(r)
 		r.ends++
 		was := r.phase
 		r.phase = "gone"
+		if was != "ended" {
+			m.w.addUse(r, -1)
+		}
 		m.w.left(r, was)
 	}
 }
@@ -133,25 +136,44 @@
 	})
 }
 
+// workerReport and taskReport are a report as the protocol has it.
+type workerReport struct {
+	Host    string       `json:"host"`
+	Address string       `json:"address"`
+	Type    string       `json:"hull"`
+	Zone    string       `json:"yard"`
+	Spot    bool         `json:"loaners"`
+	Session uint64       `json:"tenure"`
+	Seq     uint64       `json:"tick"`
+	Token   uint64       `json:"baton"`
+	RecallS *float64     `json:"recall_s"`
+	Tasks   []taskReport `json:"shards"`
+}
+
+type taskReport struct {
+	Task    string `json:"shard"`
+	Attempt uint64 `json:"launch"`
+	Phase   string `json:"phase"`
+	Cause   string `json:"cause,omitempty"`
+	Kept    bool   `json:"kept,omitempty"`
+}
+
 func (m *Machine) body() []byte {
 	m.tick++
-	shards := []map[string]any{}
+	report := workerReport{Host: m.Name, Address: m.Addr, Type: "big", Zone: m.Zone, Spot: m.Spot,
+		Session: m.tenure, Seq: m.tick, Token: m.baton, Tasks: make([]taskReport, 0, len(m.tasks))}
 	for _, r := range m.sorted() {
-		x := map[string]any{"shard": r.job.id + "/" + strconv.Itoa(r.task), "launch": r.attempt, "phase": r.phase}
+		task := taskReport{Task: r.job.id + "/" + strconv.Itoa(r.task), Attempt: r.attempt, Phase: r.phase}
 		if r.phase == "ended" {
-			x["cause"] = r.cause
-			if r.kept {
-				x["kept"] = true
-			}
+			task.Cause, task.Kept = r.cause, r.kept
 		}
-		shards = append(shards, x)
+		report.Tasks = append(report.Tasks, task)
 	}
-	var recall any
 	if m.recallAt > 0 {
-		recall = (m.recallAt - m.w.now).Seconds()
+		left := (m.recallAt - m.w.now).Seconds()
+		report.RecallS = &left
 	}
-	return mustJSON(map[string]any{"host": m.Name, "address": m.Addr, "hull": "big", "yard": m.Zone, "loaners": m.Spot,
-		"tenure": m.tenure, "tick": m.tick, "baton": m.baton, "recall_s": recall, "shards": shards})
+	return mustJSON(report)
 }
 
 func (m *Machine) report() {
@@ -213,7 +235,8 @@
 				m.execute(r.Orders)
 			}
 			m.reporting = false
-			m.w.after(m.w.secs(2.25, 3.75)-(m.w.now-sent), func() {
+			every := m.w.cfg.Report.Seconds()
+			m.w.after(m.w.secs(0.75*every, 1.25*every)-(m.w.now-sent), func() {
 				if m.lastReport == sent { // nothing has changed meanwhile
 					m.report()
 				}
@@ -269,7 +292,7 @@
 			}
 		case "reap":
 			if r != nil && r.phase == "ended" {
-				delete(m.tasks, key)
+				m.forget(r)
 				m.changed()
 			}
 		default:
@@ -285,7 +308,7 @@
 	j := w.jobs[id]
 	if j == nil && w.outside != nil { // its description was not uploaded
 		r := &runner{m: m, key: key, job: &userJob{id: id, shape: "sweep", tasks: task + 1}, task: task, attempt: o.Launch, phase: "pulling", from: w.now}
-		m.tasks[key] = r
+		m.add(r)
 		r.exit("unknown", false)
 		return
 	}
@@ -294,7 +317,7 @@
 		return
 	}
 	r := &runner{m: m, key: key, job: j, task: task, attempt: o.Launch, phase: "pulling", from: w.now}
-	m.tasks[key] = r
+	m.add(r)
 	j.starts++
 	m.changed()
 	cpus, gpus := j.cpus, j.gpus
@@ -366,6 +389,7 @@
 func (r *runner) run() {
 	r.phase = "running"
 	r.from = r.m.w.now
+	r.m.w.tell(TaskRunning, r)
 	r.m.changed()
 	if r.job.shape == "standing" {
 		if r.m.w.outside != nil && r.listens() > 0 {
@@ -387,6 +411,9 @@
 	was := r.phase
 	r.ends++
 	r.phase, r.cause, r.kept = "ended", cause, kept
+	if was != "ended" {
+		r.m.w.addUse(r, -1)
+	}
 	r.m.changed()
 	r.m.w.left(r, was)
 }
--- a/internal/sim/odd.go
+++ b/internal/sim/odd.go
@@ -32,7 +32,7 @@
 		}
 		long := false
 		var on []*Machine
-		for _, r := range j.runners(w) {
+		for _, r := range j.runners() {
 			if r.onMachine() && (j.shape == "standing" || r.from+j.left(r.task) > w.now+20*time.Second) {
 				long = true
 				on = append(on, r.m)
--- a/internal/sim/outside.go
+++ b/internal/sim/outside.go
@@ -156,7 +156,7 @@
 
 // listenAgain has instances that run already listen.
 func (w *World) listenAgain(j *userJob) {
-	for _, r := range j.runners(w) {
+	for _, r := range j.runners() {
 		if w.outside != nil && r.phase == "running" && r.listens() > 0 {
 			w.outside.Listen(r.m, r.key, r.listens())
 		}
--- a/internal/sim/refused_test.go
+++ b/internal/sim/refused_test.go
@@ -139,7 +139,7 @@
 			}
 			j := w.jobs[fmt.Sprintf("j-%d", i)]
 			w.cancel(j)
-			for _, r := range j.runners(w) {
+			for _, r := range j.runners() {
 				if c.hang > 0 && hung < 2 && !r.m.hanging() {
 					hung++
 					r.m.Hang(time.Duration(c.hang * float64(w.lease())))
--- a/internal/sim/rules.go
+++ b/internal/sim/rules.go
@@ -13,6 +13,7 @@
 	if w.OnStart != nil {
 		w.OnStart(r)
 	}
+	w.tell(TaskStarted, r)
 	if j.cancelledAt > 0 && w.now > j.cancelledAt {
 		w.StartsAfterCancel++
 	}
@@ -23,7 +24,7 @@
 		w.broke("wrong_place", "%s on %s (%s, spot %v)", r.key, r.m.Name, r.m.Zone, r.m.Spot)
 	}
 	inZone := 1
-	for _, x := range j.runners(w) {
+	for _, x := range j.runners() {
 		if x == r || x.phase == "ended" {
 			continue
 		}
@@ -45,7 +46,7 @@
 // checkOn holds when a task has its image.
 func (w *World) checkOn(r *runner) {
 	w.Started++
-	for _, x := range r.job.runners(w) {
+	for _, x := range r.job.runners() {
 		if x != r && x.task == r.task && x.onMachine() {
 			w.broke("ran_twice", "%s on %s while %s is on %s", r.key, r.m.Name, x.key, x.m.Name)
 		}
@@ -53,19 +54,9 @@
 }
 
 func (w *World) checkQuota(team string) {
-	cpus, gpus := 0.0, 0.0
-	for _, m := range w.Cloud.machines {
-		for _, x := range m.tasks {
-			if x.job.team == team && x.phase != "ended" {
-				cpus += x.job.cpus
-				gpus += x.job.gpus
-			}
-		}
-	}
-	for _, t := range w.cfg.Teams {
-		if t.Name == team && over(t, cpus, gpus) {
-			w.broke("quota", "team %s uses %v CPUs and %v GPUs", team, cpus, gpus)
-		}
+	u := w.use[team]
+	if t, ok := w.limits[team]; ok && u != nil && over(t, u.cpus, u.gpus) {
+		w.broke("quota", "team %s uses %v CPUs and %v GPUs", team, u.cpus, u.gpus)
 	}
 }
 
@@ -87,17 +78,10 @@
 }
 
 // runners are the attempts of the job that machines know.
-func (j *userJob) runners(w *World) []*runner {
-	var out []*runner
-	for _, m := range w.Cloud.machines {
-		if m.gone {
-			continue
-		}
-		for _, r := range m.tasks {
-			if r.job == j {
-				out = append(out, r)
-			}
-		}
+func (j *userJob) runners() []*runner {
+	out := make([]*runner, 0, len(j.attempts))
+	for r := range j.attempts {
+		out = append(out, r)
 	}
 	return out
 }
@@ -105,10 +89,13 @@
 // checkCancelled looks for tasks of jobs that were cancelled too long ago.
 func (w *World) checkCancelled() {
 	w.after(500*time.Millisecond, w.checkCancelled)
-	for _, m := range w.Machines() {
-		for _, r := range m.sorted() {
-			if at := r.job.cancelledAt; at > 0 && r.onMachine() && w.now > at+w.cancelWithin() {
-				w.broke("ran_cancelled", "%s is on %s %.1f s after its cancellation", r.key, m.Name, (w.now - at).Seconds())
+	for _, j := range w.jobs {
+		if j.cancelledAt == 0 || w.now <= j.cancelledAt+w.cancelWithin() {
+			continue
+		}
+		for r := range j.attempts {
+			if r.onMachine() {
+				w.broke("ran_cancelled", "%s is on %s %.1f s after its cancellation", r.key, r.m.Name, (w.now - j.cancelledAt).Seconds())
 			}
 		}
 	}
--- a/internal/sim/service.go
+++ b/internal/sim/service.go
@@ -132,7 +132,7 @@
 		d.Urgency = "standard"
 	}
 	j := &userJob{id: d.ID, shape: d.Shape, team: d.Team, image: d.Image, yard: d.Yard, urgency: d.Urgency, tasks: d.Tasks, cpus: d.CPUs, gpus: d.GPUs,
-		imageGB: d.ImageGB, samePlace: d.SamePlace, apart: d.Apart, spot: d.Spot, bad: d.Bad, runS: d.RunS, snapshotS: d.SnapshotS, stowS: d.StowS,
+		imageGB: d.ImageGB, samePlace: d.SamePlace, apart: d.Apart, spot: d.Spot, bad: d.Bad, runS: d.RunS, runSpread: d.RunSpread, snapshotS: d.SnapshotS, stowS: d.StowS,
 		results: map[int]bool{}, saved: map[int]time.Duration{}, asked: true, Submitted: w.now}
 	lane := d.Class
 	if lane == "" {
--- a/internal/sim/state.go
+++ b/internal/sim/state.go
@@ -63,7 +63,7 @@
 }
 
 func newState(w *World) *State {
-	s := &State{w: w, keys: map[string]*stateKey{}, grants: map[uint64]*stateGrant{}, refuse: map[string]time.Duration{}, keep: 300,
+	s := &State{w: w, keys: map[string]*stateKey{}, grants: map[uint64]*stateGrant{}, refuse: map[string]time.Duration{}, keep: w.cfg.KeepChanges,
 		bucket: w.cfg.RPS, writes: w.cfg.WriteRPS, Asked: map[string]int{}}
 	s.sweep()
 	return s
@@ -164,8 +164,9 @@
 		return false
 	}
 	var news []stateEvent
-	for _, e := range s.history {
-		if e.Stamp > x.from && strings.HasPrefix(e.Write+e.Delete, x.under) {
+	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].Stamp > x.from })
+	for _, e := range s.history[first:] {
+		if strings.HasPrefix(e.Write+e.Delete, x.under) {
 			news = append(news, e)
 		}
 	}
@@ -271,7 +272,7 @@
 		}
 		sort.Strings(ks)
 		most, _ := strconv.Atoi(q["most"])
-		most = min(most, 7) // small pages find more faults
+		most = min(most, s.w.cfg.PageKeys)
 		more := len(ks) > most
 		items := []map[string]any{}
 		for _, k := range ks[:min(len(ks), most)] {
@@ -279,7 +280,7 @@
 		}
 		reply(200, mustJSON(map[string]any{"items": items, "has_next": more, "epoch": s.epoch}))
 	case method == "POST" && p == "/commit":
-		if len(t.Apply) > 12 || len(t.When) > 48 || len(body) > 64<<10 {
+		if len(t.Apply) > s.w.cfg.TxnOps || len(t.When) > 4*s.w.cfg.TxnOps || len(body) > 64<<10 {
 			s.w.broke("limits", "a transaction of %d changes, %d conditions, %d bytes", len(t.Apply), len(t.When), len(body))
 			reply(400, []byte(`{"error":"too large"}`))
 			return
@@ -289,7 +290,7 @@
 				reply(400, []byte(`{"error":"no such lease"}`))
 				return
 			}
-			if len(a.Value) > 4096 {
+			if len(a.Value) > 1024*s.w.cfg.ValueKB {
 				s.w.broke("limits", "a value of %d bytes", len(a.Value))
 			}
 		}
@@ -387,3 +388,16 @@
 	}
 	return status, answer, nil
 }
+
+// LeaderName is the label of the controller that holds the leader's key, "" if none does.
+func (s *State) LeaderName() string {
+	k := s.keys["b/leader"]
+	if k == nil {
+		return ""
+	}
+	var holder struct{ Node string }
+	if json.Unmarshal(k.value, &holder) != nil {
+		return ""
+	}
+	return holder.Node
+}
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"strconv"
 	"strings"
 	"time"
@@ -20,11 +21,13 @@
 	cpus, gpus, imageGB          float64
 	samePlace, apart, spot, bad  bool
 	runS, snapshotS, stowS       float64
+	runSpread                    float64
 	asked, accepted              bool
 	cancelAsked                  bool
 	cancelledAt                  time.Duration
 	toldDone                     bool
 	results                      map[int]bool
+	attempts                     map[*runner]struct{} // that machines know
 	saved                        map[int]time.Duration
 	acceptedAt, doneTold         time.Duration
 	Submitted                    time.Duration
@@ -57,7 +60,16 @@
 
 // left is what remains to be run, never nothing.
 func (j *userJob) left(task int) time.Duration {
-	return max(100*time.Millisecond, time.Duration(j.runS*float64(time.Second))-j.saved[task])
+	return max(100*time.Millisecond, time.Duration(j.runS*j.spread(task)*float64(time.Second))-j.saved[task])
+}
+
+// spread is by how much longer than the job's usual one a task runs.
+func (j *userJob) spread(task int) float64 {
+	if j.runSpread == 0 {
+		return 1
+	}
+	r := rand.New(rand.NewPCG(uint64(task), uint64(len(j.id))+uint64(j.Submitted)))
+	return 1 + j.runSpread*(2*r.Float64()-1)
 }
 
 func (j *userJob) save(task int, ran time.Duration) { j.saved[task] += ran }
@@ -70,9 +82,11 @@
 	CPUs, GPUs, ImageGB          float64
 	SamePlace, Apart, Spot, Bad  bool
 	RunS, SnapshotS, StowS       float64
-	ExpectS, DueS                float64 // the owner's estimate, 0: the truth; the deadline, 0: none
-	CancelAfter                  time.Duration
-	Units                        map[string]int // of counted resources, for each task
+	// RunSpread is the part of RunS by which tasks of an array run for longer or less.
+	RunSpread     float64
+	ExpectS, DueS float64 // the owner's estimate, 0: the truth; the deadline, 0: none
+	CancelAfter   time.Duration
+	Units         map[string]int // of counted resources, for each task
 }
 
 func (w *World) pick() *simNode {
@@ -122,6 +136,9 @@
 		case a.Err == nil && (a.Status == 201 || a.Status == 200):
 			if !j.accepted {
 				j.accepted, j.acceptedAt = true, w.now
+				if w.OnAccepted != nil {
+					w.OnAccepted(w.now - j.Submitted)
+				}
 				w.after(w.secs(1, 5), func() { w.poll(j) })
 			}
 			w.answer(j, a.Body, asked)
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -7,6 +7,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"container/heap"
 	"errors"
 	"fmt"
@@ -38,14 +39,25 @@
 	// RPS and WriteRPS limit the state service; 0: 150 and 30.
 	RPS, WriteRPS float64
 	CloudRPS      float64 // 0: 4
-	Teams         []settings.Team
-	Objectives    []settings.Objective
-	Capacity      int // machines of each kind in each zone
-	Initial       int // machines up at the start
-	CPUs          float64
-	GPUs          float64
-	BootS         float64
-	Log           *slog.Logger
+	// TxnOps and ValueKB limit a transaction's changes and a value, 0: 12 and 4 KiB. A page
+	// of keys has at most PageKeys, 0: 7, since small pages find more faults. Watches from
+	// before the last KeepChanges changes, 0: 300, are too old.
+	TxnOps, ValueKB, PageKeys, KeepChanges int
+	// Report is how often workers report, 0: every 3 s.
+	Report time.Duration
+	// CPUShare, MemMB and Sockets are what a controller may use, 0: unstated, 125 and 1,000.
+	CPUShare, MemMB float64
+	Sockets         int
+	// MeterCPU measures the time that each simulated controller takes.
+	MeterCPU   bool
+	Teams      []settings.Team
+	Objectives []settings.Objective
+	Capacity   int // machines of each kind in each zone
+	Initial    int // machines up at the start
+	CPUs       float64
+	GPUs       float64
+	BootS      float64
+	Log        *slog.Logger
 	// NoFloors leaves out the floors of what runs.
 	NoFloors bool
 	// Declared are the counted resources of the operator's file.
@@ -75,6 +87,7 @@
 	services map[string]*userService
 	units    map[string][]unitsSet
 	cuts     map[[2]string]*cut
+	parted   []partition
 	Broken   []string
 	Started  int
 	Done     int
@@ -119,6 +132,13 @@
 	// completed.
 	OnStart func(r *runner)
 	OnEnd   func(j *userJob)
+	// OnAccepted hears how long after its first submission a job was accepted.
+	OnAccepted func(after time.Duration)
+	// OnTask hears of what happens to tasks.
+	OnTask func(TaskEvent)
+	// use is what runs, and limits what may run, by team.
+	use    map[string]*teamUse
+	limits map[string]settings.Team
 	// StartsAfterCancel counts the starts of jobs whose users had been told of their
 	// cancellation.
 	StartsAfterCancel int
@@ -212,6 +232,7 @@
 	// The process stands still until frozen; alive is when it last ran.
 	frozen time.Duration
 	alive  time.Duration
+	busy   time.Duration // how long it has computed (Config.MeterCPU)
 }
 
 type nodeEnv struct {
@@ -262,6 +283,10 @@
 	}
 	gap := s.w.now - s.alive
 	s.alive = s.w.now
+	if s.w.cfg.MeterCPU {
+		began := time.Now()
+		defer func() { s.busy += time.Since(began) }()
+	}
 	if gap >= actor.Standstill {
 		s.n.Stood(gap)
 	}
@@ -412,7 +437,7 @@
 func (w *World) cutBetween(a, b string) *cut {
 	c := w.cuts[pair(a, b)]
 	if c == nil || w.now >= c.until {
-		return nil
+		return w.partitionBetween(a, b)
 	}
 	return c
 }
@@ -633,11 +658,16 @@
 	if cfg.RPS == 0 {
 		cfg.RPS, cfg.WriteRPS = 150, 30
 	}
-	if cfg.CloudRPS == 0 {
-		cfg.CloudRPS = 4
-	}
+	cfg.CloudRPS = cmp.Or(cfg.CloudRPS, 4)
+	cfg.TxnOps, cfg.ValueKB = cmp.Or(cfg.TxnOps, 12), cmp.Or(cfg.ValueKB, 4)
+	cfg.PageKeys, cfg.KeepChanges = cmp.Or(cfg.PageKeys, 7), cmp.Or(cfg.KeepChanges, 300)
+	cfg.Report = cmp.Or(cfg.Report, 3*time.Second)
+	cfg.MemMB, cfg.Sockets = cmp.Or(cfg.MemMB, 125), cmp.Or(cfg.Sockets, 1000)
 	w := &World{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 7)), jobs: map[string]*userJob{}, gangs: map[string]*gang{}, services: map[string]*userService{}, units: map[string][]unitsSet{},
-		cuts: map[[2]string]*cut{}, slow: map[[2]int]slowLink{}, Answered: map[int]int{}, log: cfg.Log, outside: cfg.Outside}
+		use: map[string]*teamUse{}, limits: map[string]settings.Team{}, cuts: map[[2]string]*cut{}, slow: map[[2]int]slowLink{}, Answered: map[int]int{}, log: cfg.Log, outside: cfg.Outside}
+	for _, t := range cfg.Teams {
+		w.limits[t.Name] = t
+	}
 	w.after(time.Second, w.watchWaiting)
 	w.State = newState(w)
 	w.Cloud = newCloud(w)
@@ -653,10 +683,10 @@
 		}
 		f := &s.Facts
 		f.Nodes, f.Zones, f.Teams, f.Objectives = cfg.Nodes, cfg.Zones, cfg.Teams, cfg.Objectives
-		f.Workers.ReportS, f.Workers.LeaseS, f.Workers.GangWaitS, f.Workers.GangPeerS, f.Workers.CancelS = 3, w.lease().Seconds(), 30, 5, w.cancelWithin().Seconds()+cfg.ToldLonger.Seconds()
-		f.State.RPS, f.State.WriteRPS, f.State.ValueKB, f.State.TxnOps = cfg.RPS, cfg.WriteRPS, 4, 12
+		f.Workers.ReportS, f.Workers.LeaseS, f.Workers.GangWaitS, f.Workers.GangPeerS, f.Workers.CancelS = cfg.Report.Seconds(), w.lease().Seconds(), 30, 5, w.cancelWithin().Seconds()+cfg.ToldLonger.Seconds()
+		f.State.RPS, f.State.WriteRPS, f.State.ValueKB, f.State.TxnOps = cfg.RPS, cfg.WriteRPS, float64(cfg.ValueKB), cfg.TxnOps
 		f.Cloud.RPS, f.Cloud.ListLagS = cfg.CloudRPS, 4
-		f.Limits.MemMB, f.Limits.Sockets = 125, 1000
+		f.Limits.CPUShare, f.Limits.MemMB, f.Limits.Sockets = cfg.CPUShare, cfg.MemMB, cfg.Sockets
 		w.Set = append(w.Set, s)
 	}
 	for i, s := range w.Set {
