--- a/cmd/brooklb/scale.go
+++ b/cmd/brooklb/scale.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"brooklb/internal/dev"
@@ -37,10 +38,54 @@
 	c.Flags().BoolVar(&f.simulated, "simulated", false, "in one process and in simulated time, without sockets")
 	c.Flags().StringVar(&f.json, "json", "", "write the result to this file, too")
 	c.Flags().StringVar(&f.logs, "logs", "", "keep the controllers' settings and logs in this directory")
-	c.AddCommand(slopesCommand())
+	c.AddCommand(slopesCommand(), pageCommand())
 	return c
 }
 
+// pageCommand writes the tables of the capacity page from the output of runs.
+func pageCommand() *cobra.Command {
+	var slopes, profile string
+	var runs []string
+	c := &cobra.Command{
+		Use: "page FILE", Short: "write the tables of a capacity page anew, from the output of runs",
+		Args: oneFile("FILE"),
+		RunE: func(_ *cobra.Command, args []string) error {
+			if slopes == "" || profile == "" {
+				return usageError{errors.New("--slopes FILE and --profile FILE are needed")}
+			}
+			return updatePage(args[0], slopes, profile, runs)
+		},
+	}
+	c.Flags().StringVar(&slopes, "slopes", "", "output of brooklb scale slopes")
+	c.Flags().StringVar(&profile, "profile", "", "profile of the planned size")
+	c.Flags().StringArrayVar(&runs, "run", nil, "NAME=FILE: a run's result, as written with --json; may be repeated")
+	return c
+}
+
+func updatePage(page, slopesFile, profileFile string, runs []string) error {
+	slopes, err := scale.LoadSlopes(slopesFile)
+	if err != nil {
+		return err
+	}
+	planned, err := scale.LoadProfile(profileFile)
+	if err != nil {
+		return err
+	}
+	var named []scale.Named
+	for _, run := range runs {
+		name, file, found := strings.Cut(run, "=")
+		if !found {
+			return usageError{fmt.Errorf("--run %q is not NAME=FILE", run)}
+		}
+		r, err := scale.LoadResult(file)
+		if err != nil {
+			return err
+		}
+		named = append(named, scale.Named{Name: name, Result: r})
+	}
+	return scale.UpdatePage(page, slopes, planned, named)
+}
+
 // slopesCommand measures how the costs grow with one size at a time.
 func slopesCommand() *cobra.Command {
 	var out string
--- a/internal/actor/actor.go
+++ b/internal/actor/actor.go
@@ -59,10 +59,10 @@
 // Unsent reports whether the request certainly reached nobody.
 func (a Answer) Unsent() bool { return errors.Is(a.Err, ErrNotSent) }
 
-// Standstill is from how long on a gap in a process's own time counts as one it
+// LongPause is from how long on a gap in a process's own time counts as one it
 // did not live through: its clocks ran on, but nothing was read, sent or decided.
 // It is longer than a busy processor's pauses and shorter than every lease.
-const Standstill = 1500 * time.Millisecond
+const LongPause = 1500 * time.Millisecond
 
 // Timer is a pending call of a function.
 type Timer struct {
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -273,8 +273,8 @@
 	}
 }
 
-// Stood hears that the process stood still: who waited at the door may have given up.
-func (a *Actor) Stood() {
+// Paused hears that the process was paused: who waited at the door may have given up.
+func (a *Actor) Paused() {
 	if a.Gate != nil {
 		a.Gate.Drop(a.env.Now())
 	}
--- a/internal/tidings/tidings.go
+++ b/internal/cancellation/cancellation.go
@@ -1,4 +1,4 @@
-// Package tidings is what controllers tell a leader of cancellations, so that it knows until
+// Package cancellation is what controllers tell a leader of cancellations, so that it knows until
 // when nobody can have told a user of one that it doesn't know of.
 //
 // A leader that the state service doesn't answer may keep workers' leases alive for the hold
@@ -12,7 +12,7 @@
 // record (statestore.Commit, Read, Get put it there first); a node that has been elected says
 // nothing to another leader any more, so that no leader answers for longer than the hold
 // after the next one's election.
-package tidings
+package cancellation
 
 import (
 	"slices"
--- a/internal/tidings/tidings_test.go
+++ b/internal/cancellation/cancellation_test.go
@@ -1,4 +1,4 @@
-package tidings
+package cancellation
 
 import (
 	"fmt"
--- a/internal/dev/controllers.go
+++ b/internal/dev/controllers.go
@@ -99,7 +99,7 @@
 	}
 }
 
-// freeze has the process stand still while its clocks run on.
+// freeze has the process be paused while its clocks run on.
 func (k *controller) freeze(d time.Duration) {
 	gen, p := k.gen, k.cmd.Process
 	if p.Signal(syscall.SIGSTOP) != nil {
--- a/internal/fleet/rent.go
+++ b/internal/fleet/rent.go
@@ -23,7 +23,7 @@
 	// A look at a machine for a job takes about so much of a whole core, and all of them
 	// in a pass, which comes once a second, this part of the share at most: with 1,500
 	// jobs waiting for 1,818 machines passes and renting used up a leader's processor
-	// for seconds, it stood still, and lost its lease (lumiar fleet, half as many machines
+	// for seconds, it was paused, and lost its lease (lumiar fleet, half as many machines
 	// again, a hundred times the submissions).
 	perLook  = 100 * time.Nanosecond
 	lookPart = 0.2
@@ -103,7 +103,7 @@
 	looked := 0
 	for i, j := range left[:most] {
 		// Each job looks at all machines: with thousands of them waiting a leader spent
-		// its processor on renting, and stood still for longer than its lease.
+		// its processor on renting, and was paused for longer than its lease.
 		if looked += len(pr.Slots); total >= maxRent || looked > limit {
 			break
 		}
--- a/internal/httpx/dial.go
+++ b/internal/httpx/dial.go
@@ -33,11 +33,11 @@
 
 // Call implements actor.Env.
 func (l *Loop) Call(call actor.Call) {
-	if time.Since(l.start)-l.now >= actor.Standstill {
-		// We stood still between the decision and here: another may have
+	if time.Since(l.start)-l.now >= actor.LongPause {
+		// We were paused between the decision and here: another may have
 		// decided otherwise meanwhile.
 		l.After(0, func() {
-			call.Done(actor.Answer{Err: errors.Join(actor.ErrNotSent, errors.New("stood still before sending"))})
+			call.Done(actor.Answer{Err: errors.Join(actor.ErrNotSent, errors.New("the process was paused before sending"))})
 		})
 		return
 	}
--- a/internal/httpx/loop.go
+++ b/internal/httpx/loop.go
@@ -19,8 +19,8 @@
 // be called later, once, from the loop.
 type Handler interface {
 	Serve(r *Request, peer bool, reply func(Response))
-	// Stood hears that the process stood still, before anything else happens.
-	Stood(gap time.Duration)
+	// Paused hears that the process was paused, before anything else happens.
+	Paused(gap time.Duration)
 }
 
 // Loop is one gnet event loop that runs everything a process does: it accepts
@@ -81,12 +81,12 @@
 func (l *Loop) After(d time.Duration, f func()) *actor.Timer { return l.timers.Add(l.now+d, f) }
 
 // refresh is called before anything that came from outside is handled: what a
-// process decided before it stood still must not go on as if nothing had been.
+// process decided before it was paused must not go on as if nothing had been.
 func (l *Loop) refresh() {
 	gap := time.Since(l.start) - l.now
 	l.now += gap
-	if gap >= actor.Standstill && l.loop != nil {
-		l.handler.Stood(gap)
+	if gap >= actor.LongPause && l.loop != nil {
+		l.handler.Paused(gap)
 	}
 }
 
--- a/internal/httpx/loop_test.go
+++ b/internal/httpx/loop_test.go
@@ -38,7 +38,7 @@
 	}
 }
 
-func (e echo) Stood(time.Duration) {}
+func (e echo) Paused(time.Duration) {}
 
 func freeAddr(t *testing.T) string {
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/internal/httpx/parser.go
+++ b/internal/httpx/parser.go
@@ -38,10 +38,9 @@
 }
 
 type message struct {
-	line   []byte // first line
-	body   []byte
-	close  bool
-	length int // bytes consumed
+	line  []byte // first line
+	body  []byte
+	close bool
 }
 
 // parse looks for one complete message at the start of b. It returns n == 0
--- a/internal/intake/parts.go
+++ b/internal/intake/parts.go
@@ -12,7 +12,7 @@
 const (
 	// TTL is how long a part lasts, counted by its holder from the moment at which it
 	// sent the mark that the leader's message echoes: before the part was handed out,
-	// however late the message arrives. A standstill doesn't stretch it, since the
+	// however late the message arrives. A pause doesn't stretch it, since the
 	// steady clock runs on.
 	TTL = 4 * time.Second
 	// lasts is how long the leader counts a part as spent after it was last sent:
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -282,20 +282,20 @@
 	a.store.Release(permit)
 }
 
-// Stood hears that the process stood still. Once its lease may have run out,
+// Paused hears that the process was paused. Once its lease may have run out,
 // another may lead: nothing that was planned before goes out any more.
-func (a *Actor) Stood() {
+func (a *Actor) Paused() {
 	if a.token != 0 && a.env.Now()-a.proven >= ttl {
-		a.Resign("stood still for longer than the lease")
+		a.Resign("paused for longer than the lease")
 	}
 }
 
-// Sure reports whether the proof that we lead is younger than the lease. Only
+// HasProof reports whether the proof that we lead is younger than the lease. Only
 // then is anything started, rented or returned.
-func (a *Actor) Sure() bool { return a.token != 0 && a.env.Now()-a.proven < ttl }
+func (a *Actor) HasProof() bool { return a.token != 0 && a.env.Now()-a.proven < ttl }
 
 // Alone reports whether it is certain that nobody else leads: our lease can't have
-// ended. Sure is less: the key was ours when we asked, but its lease may have ended
+// ended. HasProof is less: the key was ours when we asked, but its lease may have ended
 // just after.
 func (a *Actor) Alone() bool { return a.token != 0 && a.env.Now()-a.renewed < ttl-ttl/100 }
 
--- a/internal/ledger/write.go
+++ b/internal/ledger/write.go
@@ -340,7 +340,6 @@
 			}
 			if f.n < 0 {
 				f.job.Final, f.job.Stamp = Done, epoch
-				l.env.Log().Info("job over", "job", f.job.Spec.ID, "phase", Done)
 			} else {
 				f.job.chunks[f.n].stamp = epoch
 				if f.drop {
--- a/internal/node/ends.go
+++ b/internal/node/ends.go
@@ -3,18 +3,18 @@
 import (
 	"strings"
 
+	"brooklb/internal/cancellation"
 	"brooklb/internal/ledger"
 	"brooklb/internal/peer"
-	"brooklb/internal/tidings"
 )
 
 // listen makes what a term hears of cancellations; nil if some controllers are no peers of
 // ours.
-func (n *Node) listen(token uint64) *tidings.Listener {
+func (n *Node) listen(token uint64) *cancellation.Listener {
 	if len(n.set.Peers)+1 < n.set.Facts.Nodes {
 		return nil
 	}
-	return tidings.NewListener(token, n.others())
+	return cancellation.NewListener(token, n.others())
 }
 
 // tellEnds puts into a status what it says about cancellations.
@@ -46,10 +46,10 @@
 	}
 }
 
-// within reports whether workers may be answered: nobody can have been told for longer than
+// mayAnswerWorkers reports whether workers may be answered: nobody can have been told for longer than
 // the hold of a cancellation that we don't know of. That is certain up to our last proof, or
 // up to what all other nodes have told us.
-func (t *term) within() bool {
+func (t *term) mayAnswerWorkers() bool {
 	now := t.n.env.Now()
 	if now-t.n.elect.Proven() <= t.n.hold {
 		return true
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -71,6 +71,7 @@
 func (n *Node) heard(s *peer.Status) {
 	now := n.env.Now()
 	n.heardEnds(s)
+	n.heardForwarding(s)
 	if s.Gate >= 1 {
 		n.marks[s.Label] = s.Mark
 		if t := n.term; t != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,7 +8,9 @@
 
 	"brooklb/internal/actor"
 	"brooklb/internal/admission"
+	"brooklb/internal/cancellation"
 	"brooklb/internal/fleet"
+	"brooklb/internal/forward"
 	"brooklb/internal/httpx"
 	"brooklb/internal/images"
 	"brooklb/internal/intake"
@@ -20,7 +22,6 @@
 	"brooklb/internal/rollout"
 	"brooklb/internal/settings"
 	"brooklb/internal/statestore"
-	"brooklb/internal/tidings"
 	"brooklb/internal/units"
 	"brooklb/internal/wire"
 	"brooklb/internal/workers"
@@ -40,7 +41,7 @@
 	warm  *images.Actor
 	term  *term
 	hold  time.Duration
-	// woke is when this process last went on after standing still: until then
+	// woke is when this process last went on after being paused: until then
 	// the state service's silence was our own.
 	woke time.Duration
 	// yields counts how often we gave way since we last heard the workers.
@@ -57,9 +58,16 @@
 	weight    func(team string) float64
 	floors    *placement.Floors
 	oldLeader time.Duration
-	// knocks has the workers that came here looking for the leader.
-	knocks map[string]time.Duration
-	teller *tidings.Teller
+	// seekers has the workers that came here looking for the leader.
+	seekers map[string]time.Duration
+	teller  *cancellation.Teller
+	// forwarder passes reports on while another leads; reporters are the workers that
+	// report to this node. spread is whether the newest leader has all nodes take reports,
+	// spreadToken which one that is.
+	forwarder   *forward.Forwarder
+	reporters   *forward.Recent
+	spread      bool
+	spreadToken uint64
 }
 
 // term is everything that exists only while this node leads.
@@ -94,7 +102,7 @@
 	aims               *placement.Aims
 	// What all nodes take in: how it is divided, by how much it is eased, what is shut.
 	issuer  *intake.Issuer
-	ends    *tidings.Listener
+	ends    *cancellation.Listener
 	issue   uint64
 	parts   map[string]uint64
 	divided time.Duration
@@ -107,6 +115,13 @@
 	// answered since.
 	unsure   time.Duration
 	unproven int
+	// sender gives orders by way of other controllers. moved counts, by controller, the
+	// workers that were sent there since its last status; movedAt and moving limit how
+	// many are.
+	sender  *forward.Sender
+	moved   map[string]int
+	moving  float64
+	movedAt time.Duration
 	// sentAway is since when workers were refused for want of a proof, 0: they are not.
 	sentAway time.Duration
 }
@@ -129,7 +144,7 @@
 // New makes a node; Start sets it going.
 func New(env actor.Env, set *settings.Settings, opt Options) *Node {
 	f := &set.Facts
-	n := &Node{env: env, set: set, opt: opt, knocks: map[string]time.Duration{}, woke: -time.Hour, marks: map[string]uint64{}}
+	n := &Node{env: env, set: set, opt: opt, seekers: map[string]time.Duration{}, woke: -time.Hour, marks: map[string]uint64{}}
 	// A leader that can't reach the state service may keep workers' leases
 	// alive for so long that a job cancelled through another node is still gone
 	// in time: the hold, then a lease, with a margin for drift and delays.
@@ -138,7 +153,7 @@
 		Nodes: f.Nodes, TxnOps: f.State.TxnOps, ValueBytes: int(f.State.ValueKB * 1024)})
 	n.store.Share = n.Share
 	n.warm = images.New(env, n.store)
-	n.teller = tidings.NewTeller(n.store)
+	n.teller = cancellation.NewTeller(n.store)
 	n.adm = admission.New(env, n.store, f.Teams, f.Zones)
 	n.holder = intake.NewHolder(env.Rand().Uint64())
 	n.weight = opt.Sharing.Weight(f.Teams)
@@ -167,6 +182,9 @@
 	n.peers = peer.New(env, set.Peers, n.status)
 	n.peers.OnLeader = n.newer
 	n.peers.OnStatus = n.heard
+	n.reporters = forward.NewRecent(reportersFor(f.Workers.ReportS))
+	n.forwarder = forward.NewForwarder(env, set.Label, n.leaderEndpoint)
+	n.forwarder.Refused = n.noteSeeker
 	n.door.Understood = func() bool { return n.peers.AllRead(ledger.ServiceFormat) }
 	n.door.Live = func(name string) (*wire.RolloutLive, string) {
 		if n.term == nil {
@@ -199,7 +217,7 @@
 	n.elect = leader.New(env, n.store, set.Label, n.lead, n.lose)
 	n.elect.Reluctant = func() bool {
 		others, _ := n.peers.Workers()
-		return others >= fewWorkers && n.knocking() == 0
+		return others >= fewWorkers && n.seeking() == 0
 	}
 	n.store.OnResync(func() { n.elect.Resign("changes of the state service were missed") })
 	return n
@@ -225,12 +243,13 @@
 }
 
 func (n *Node) status() peer.Status {
-	st := peer.Status{Label: n.set.Label, State: (n.env.Now() - n.store.Contact()).Milliseconds(), Leading: n.term != nil, Workers: n.knocking(), Reads: ledger.UnitsFormat}
+	st := peer.Status{Label: n.set.Label, State: (n.env.Now() - n.store.Contact()).Milliseconds(), Leading: n.term != nil, Workers: n.seeking(), Reads: ledger.UnitsFormat}
 	if n.term != nil {
 		st.Token = n.term.token
 	}
 	n.tellParts(&st)
 	n.tellEnds(&st)
+	n.tellForwarding(&st)
 	return st
 }
 
@@ -291,7 +310,9 @@
 // Serve implements httpx.Handler.
 func (n *Node) Serve(r *httpx.Request, fromPeer bool, reply func(httpx.Response)) {
 	if fromPeer {
-		n.peers.Serve(r, reply)
+		if !n.serveForwarding(r, reply) {
+			n.peers.Serve(r, reply)
+		}
 		return
 	}
 	switch r.Path {
@@ -316,18 +337,19 @@
 	reply(httpx.Response{Status: 404, Body: wire.Error("no such path")})
 }
 
-// Stood hears that this process stood still while its clocks ran on, before it
+// Paused hears that this process was paused while its clocks ran on, before it
 // does anything else. What it knows of others' silence is its own.
-func (n *Node) Stood(gap time.Duration) {
-	n.env.Log().Info("stood still", "for_s", tenth(gap.Seconds()), "leading", n.term != nil)
+func (n *Node) Paused(gap time.Duration) {
+	n.env.Log().Info("process paused", "for_s", tenth(gap.Seconds()), "leading", n.term != nil)
 	n.woke = n.env.Now()
-	n.store.Stood()
-	n.elect.Stood()
-	n.adm.Stood()
+	n.store.Paused()
+	n.elect.Paused()
+	n.adm.Paused()
+	n.forwarder.Paused()
 	if t := n.term; t != nil {
-		t.workers.Stood(gap)
-		t.rollouts.Stood(gap)
-		t.units.Stood(gap)
+		t.workers.Paused(gap)
+		t.rollouts.Paused(gap)
+		t.units.Paused(gap)
 	}
 }
 
@@ -360,7 +382,7 @@
 	t.workers.OnEnded = t.rollouts.Ended
 	// Without a fresh proof that we lead, a job may have been cancelled whose start is
 	// recorded: nothing is started then, in no answer either.
-	t.workers.Quiet = func() bool { return !t.base.Settled || !n.elect.Sure() }
+	t.workers.Quiet = func() bool { return !t.base.Settled || !n.elect.HasProof() }
 	t.workers.Proven = n.elect.Proven
 	t.workers.OnNewer = func() { n.elect.Deposed(token) }
 	t.workers.OnStuck = func() { n.elect.Resign("a start that was called off may still arrive, a new token makes it void") }
@@ -376,8 +398,11 @@
 		started(ps)
 	}
 	t.fleet.OnChange = t.wake
+	t.sender, t.moved = forward.NewSender(n.env, t.token), map[string]int{}
+	t.workers.Send = t.send
 	n.term = t
 	n.env.Log().Info("leading", "token", t.token, "jobs", len(t.led.Jobs))
+	n.forwarder.Drain(n.answerReport)
 	t.tick()
 }
 
@@ -392,6 +417,7 @@
 		t.rollouts.Close()
 		t.units.Close()
 		t.fleet.Close()
+		t.sender.Close()
 		n.term = nil
 	}
 }
@@ -401,10 +427,10 @@
 		return
 	}
 	t.n.env.After(250*time.Millisecond, t.tick)
-	if t.sentAway > 0 && t.within() {
+	if t.sentAway > 0 && t.mayAnswerWorkers() {
 		// That they were not heard was our doing: machines were returned for it, and the
 		// leader resigned, as soon as a long outage was over.
-		t.workers.Stood(t.n.env.Now() - t.sentAway)
+		t.workers.Paused(t.n.env.Now() - t.sentAway)
 		t.sentAway = 0
 	}
 	if t.deaf() {
@@ -417,7 +443,7 @@
 	if t.closed {
 		return
 	}
-	if t.n.elect.Sure() {
+	if t.n.elect.HasProof() {
 		// The cloud doesn't know tokens: a leader that may be none any more
 		// must not return machines that another is using.
 		t.fleet.Tick()
@@ -430,6 +456,7 @@
 	t.proof()
 	t.n.store.Relaxed = t.led.Behind(model.Low) <= 0
 	t.divide()
+	t.decideSpread()
 	t.countUnits()
 	t.led.Kick()
 	t.workersBack()
--- a/internal/node/pass.go
+++ b/internal/node/pass.go
@@ -50,7 +50,7 @@
 func (t *term) pass() {
 	now := t.n.env.Now()
 	t.lastPass = now
-	if !t.n.elect.Sure() {
+	if !t.n.elect.HasProof() {
 		return // without the state service nothing is started
 	}
 	if !t.settled() {
@@ -61,7 +61,7 @@
 	}
 	// Urgent starts are written first: only what would queue behind all others waits.
 	urgentOnly := t.led.Behind(model.Low) > behindFor
-	v := &placement.View{Now: now, Silent: 3 * seconds(t.n.set.Facts.Workers.ReportS), Holds: t.holds, Aims: t.aims}
+	v := &placement.View{Now: now, Silent: 3 * seconds(t.n.set.Facts.Workers.ReportS), Report: seconds(t.n.set.Facts.Workers.ReportS), Holds: t.holds, Aims: t.aims}
 	v.Machines = placement.Candidates(t.led, v)
 	if t.floored == nil || now-t.lastFloors >= floorsEvery {
 		t.lastFloors = now // it looks at all jobs
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -7,26 +7,26 @@
 	"brooklb/internal/wire"
 )
 
-// knockFor is how long a worker that came here in vain counts: it asks the
+// seekingFor is how long a worker that came here in vain counts: it asks the
 // leader meanwhile, gives up after 4 s, and comes to another of us a second later.
-const knockFor = 8 * time.Second
+const seekingFor = 8 * time.Second
 
-// knock notes a worker that came here. One that has never seen a token is new
-// and asks anywhere; what waited while we stood still was sent long ago.
-func (n *Node) knock(report []byte) {
-	if host, token := wire.ReportHead(report); host != "" && token > 0 && n.env.Now()-n.woke > time.Second {
-		n.knocks[host] = n.env.Now()
+// noteSeeker notes a worker that came here. One that has never seen a token is new
+// and asks anywhere; what waited while we were paused was sent long ago.
+func (n *Node) noteSeeker(report []byte) {
+	if host, _, token := wire.ReportHead(report); host != "" && token > 0 && n.env.Now()-n.woke > time.Second {
+		n.seekers[host] = n.env.Now()
 	}
 }
 
-// knocking is how many workers lately came here looking for the leader.
-func (n *Node) knocking() int {
-	for host, at := range n.knocks {
-		if n.env.Now()-at > knockFor {
-			delete(n.knocks, host)
+// seeking is how many workers lately came here looking for the leader.
+func (n *Node) seeking() int {
+	for host, at := range n.seekers {
+		if n.env.Now()-at > seekingFor {
+			delete(n.seekers, host)
 		}
 	}
-	return len(n.knocks)
+	return len(n.seekers)
 }
 
 func (n *Node) report(r *httpx.Request, reply func(httpx.Response)) {
@@ -34,20 +34,42 @@
 		reply(httpx.Response{Status: 405, Body: wire.Error("POST only")})
 		return
 	}
+	switch to, kind := n.routeReport(r.Body); kind {
+	case answerHere:
+		n.answerReport(r.Body, reply)
+	case passOn:
+		n.forwarder.Report(r.Body, reply)
+	default:
+		reply(httpx.Response{Status: 421, Body: wire.ReportsTo(to)})
+	}
+}
+
+// leaderLabel is the leader as far as known, "" if it isn't.
+func (n *Node) leaderLabel() string {
+	label := n.elect.Leader()
+	if label == n.set.Label || n.env.Now()-n.store.Contact() > 4*time.Second {
+		label = "" // not ready yet, or what we know may be old
+	}
+	if label == "" {
+		label = n.peers.Leader()
+	}
+	return label
+}
+
+// answerReport is the leader's answer to a report that came straight to it.
+func (n *Node) answerReport(body []byte, reply func(httpx.Response)) {
+	n.answerReportVia("", body, reply)
+}
+
+// answerReportVia is the leader's answer to a report that came by way of a controller, "":
+// straight.
+func (n *Node) answerReportVia(via string, body []byte, reply func(httpx.Response)) {
 	t := n.term
-	if t == nil {
-		label := n.elect.Leader()
-		if label == n.set.Label || n.env.Now()-n.store.Contact() > 4*time.Second {
-			label = "" // not ready yet, or what we know may be old
-		}
-		if label == "" {
-			label = n.peers.Leader()
-		}
-		n.knock(r.Body)
-		reply(httpx.Response{Status: 421, Body: wire.ReportsTo(label)})
+	if t == nil { // it led when the report was routed
+		reply(httpx.Response{Status: 503, RetryAfter: 1, Body: wire.Error("no longer leading")})
 		return
 	}
-	if !t.within() {
+	if !t.mayAnswerWorkers() {
 		// Another may lead by now, and a job may have been cancelled that we
 		// don't know of: the workers' leases must be allowed to run out.
 		if t.sentAway == 0 {
@@ -56,16 +78,16 @@
 		reply(httpx.Response{Status: 503, RetryAfter: 1, Body: wire.Error("not sure to lead")})
 		return
 	}
-	if !n.elect.Sure() {
+	if !n.elect.HasProof() {
 		t.unproven++
 	}
-	rep, err := wire.DecodeReport(r.Body)
+	rep, err := wire.DecodeReport(body)
 	if err != nil {
 		n.env.Log().Error("bad report", "err", err)
 		reply(httpx.Response{Status: 400, Body: wire.Error(err.Error())})
 		return
 	}
-	orders := t.workers.Report(rep)
+	orders := t.workers.ReportVia(via, rep)
 	if n.term != t { // a higher token was seen
 		reply(httpx.Response{Status: 503, RetryAfter: 1, Body: wire.Error("no longer leading")})
 		return
@@ -77,7 +99,7 @@
 // again: meanwhile it starts nothing, and answers workers until its hold is over.
 func (t *term) proof() {
 	now := t.n.env.Now()
-	switch sure := t.n.elect.Sure(); {
+	switch sure := t.n.elect.HasProof(); {
 	case !sure && t.unsure == 0:
 		t.unsure = now
 		t.n.env.Log().Info("no fresh proof of leading, nothing is started", "token", t.token, "hold_s", tenth(t.n.hold.Seconds()))
@@ -136,7 +158,7 @@
 // silent workers' tasks are gone.
 func (t *term) deaf() bool {
 	n := t.n
-	if !n.elect.Sure() {
+	if !n.elect.HasProof() {
 		// Nobody can be elected while the state service is down, and if it refuses us
 		// alone our lease is gone in any case.
 		return false
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"brooklb/internal/actor"
+	"brooklb/internal/cancellation"
 	"brooklb/internal/httpx"
 	"brooklb/internal/settings"
-	"brooklb/internal/tidings"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -50,9 +50,15 @@
 	Echo  map[string]uint64 `cbor:"15,keyasint,omitempty"`
 	// Shut are teams and classes of which nothing more is taken now.
 	Shut [][2]string `cbor:"16,keyasint,omitempty"`
-	// What a leader asks about cancellations, and what the others answer (package tidings).
-	Question *tidings.Question `cbor:"17,keyasint,omitempty"`
-	Answer   *tidings.Answer   `cbor:"18,keyasint,omitempty"`
+	// What a leader asks about cancellations, and what the others answer (package cancellation).
+	Question *cancellation.Question `cbor:"17,keyasint,omitempty"`
+	Answer   *cancellation.Answer   `cbor:"18,keyasint,omitempty"`
+	// Forward is the version of the messages (package forward) in which its program passes
+	// workers' reports on, 0: it doesn't. Reporters is how many workers report to it.
+	Forward   int    `cbor:"19,keyasint,omitempty"`
+	Reporters uint64 `cbor:"20,keyasint,omitempty"`
+	// Spread: the leader has all controllers take reports.
+	Spread bool `cbor:"21,keyasint,omitempty"`
 }
 
 const (
@@ -163,6 +169,25 @@
 	reply(httpx.Response{Status: 200, Type: contentType, Body: a.encode()})
 }
 
+// Lately calls f for every peer that was heard of lately, in the settings' order.
+func (a *Actor) Lately(f func(p settings.Peer, s *Status)) {
+	for _, p := range a.peers {
+		if k, ok := a.known[p.Label]; ok && a.env.Now()-k.at <= fresh {
+			f(p, &k.Status)
+		}
+	}
+}
+
+// Endpoint is the address of a peer for other controllers, "" if there is none.
+func (a *Actor) Endpoint(label string) string {
+	for _, p := range a.peers {
+		if p.Label == label {
+			return p.Endpoint
+		}
+	}
+	return ""
+}
+
 // OthersReachState reports whether a peer has had an answer of the state
 // service within the span, by what it said lately.
 func (a *Actor) OthersReachState(span time.Duration) bool {
--- a/internal/placement/claims.go
+++ b/internal/placement/claims.go
@@ -19,8 +19,9 @@
 	// PassedOn: of the guarantee there is something left for it.
 	PassedOn
 	// Floor: it is within the floor of its class and team (Floors), not within its
-	// team's guarantee; FloorWithin: within both.
+	// team's guarantee.
 	Floor
+	// FloorWithin: it is within both.
 	FloorWithin
 	// Promised: it fits into the guarantee together with the team's earlier
 	// unfinished jobs, and has not begun, or only just.
--- /dev/null
+++ b/internal/placement/score.go
@@ -0,0 +1,89 @@
+package placement
+
+import (
+	"brooklb/internal/ledger"
+	"brooklb/internal/model"
+)
+
+// Score rates a machine for a task of the job: seconds saved until it runs,
+// then how little whole room is broken.
+func Score(l *ledger.Ledger, v *View, j *ledger.Job, m *ledger.Machine) float64 {
+	s := 0.0
+	mt := l.Types[m.Type]
+	if _, ok := m.Images[j.Spec.Image]; !ok && mt != nil && mt.FetchGBs > 0 {
+		// Others that fetch share the rate; one that fetches the same image
+		// has a part of it already.
+		others := 0
+		same := false
+		for i, p := range m.P {
+			if p.Phase != model.Fetching && p.Seen {
+				continue
+			}
+			image := p.Job.Spec.Image
+			if image == j.Spec.Image {
+				same = true
+				continue
+			}
+			counted := false
+			for _, q := range m.P[:i] {
+				counted = counted || (q.Phase == model.Fetching || !q.Seen) && q.Job.Spec.Image == image
+			}
+			if !counted {
+				others++
+			}
+		}
+		f := j.Spec.ImageGB / mt.FetchGBs
+		if same {
+			f *= 0.6
+		}
+		s -= f * float64(1+others)
+	}
+	if j.Spec.Kind != model.Service {
+		s -= (m.Pace.Factor() - 1) * j.EstimateS()
+	}
+	if m.Kept() >= ledger.DirectStarts(j.Spec.Priority) {
+		s -= v.Report.Seconds() / 2 // its start waits for the worker's next report
+	}
+	// Fill machines that are in use before empty ones.
+	used := 0.0
+	if m.Cap.GPUs > 0 {
+		used = (m.Used.GPUs + j.Spec.Need.GPUs) / m.Cap.GPUs
+	} else if m.Cap.CPUs > 0 {
+		used = (m.Used.CPUs + j.Spec.Need.CPUs) / m.Cap.CPUs
+	}
+	s += 15 * used
+	if len(m.P) > 0 {
+		s += 5
+	}
+	if m.Spot {
+		s += spotGain - spotLoss(l, j)
+	}
+	return s
+}
+
+const (
+	// Seconds that a spot machine's price is worth: what loses little by being
+	// taken away goes there and leaves the others to gangs.
+	spotGain = 10
+	// Seconds until a task that lost its machine runs again.
+	restart = 20
+)
+
+// spotLoss is how many seconds of work are lost on average if one task of the
+// job runs on a spot machine. If that is taken away a gang stops as a whole.
+func spotLoss(l *ledger.Ledger, j *ledger.Job) float64 {
+	s := j.Spec
+	lost := j.EstimateS() / 2
+	if s.CheckpointS > 0 {
+		lost = min(lost, s.CheckpointS/2+s.SaveS)
+	}
+	lost += restart
+	run := j.EstimateS()
+	if s.Kind == model.Service {
+		run = 3600
+	}
+	if s.Kind == model.Gang {
+		lost *= float64(len(j.Tasks))
+	}
+	return l.SpotRisk() * run * lost
+}
--- a/internal/rollout/check_test.go
+++ b/internal/rollout/check_test.go
@@ -117,13 +117,13 @@
 		if x.sick() && x.proof() == "" {
 			t.Error("no proof")
 		}
-		// A standstill: what was under way proves nothing.
+		// A pause: what was under way proves nothing.
 		if c.sick {
 			before := x.fails
 			ch.stood()
 			e.run(c.after)
 			if x.fails > before && e.flying > 0 {
-				t.Errorf("%s: a check from before a standstill counted", c.name)
+				t.Errorf("%s: a check from before a pause counted", c.name)
 			}
 		}
 	}
--- a/internal/rollout/health.go
+++ b/internal/rollout/health.go
@@ -61,7 +61,7 @@
 	flying int
 	bucket actor.Bucket
 	rate   float64
-	gen    int // what was asked before a standstill proves nothing
+	gen    int // what was asked before a pause proves nothing
 	timer  *actor.Timer
 	took   *hdrhistogram.Histogram // of answers, in microseconds
 }
@@ -287,5 +287,5 @@
 	return fmt.Sprintf("%s failed %d of its last %d checks, last it %s", where, bits.OnesCount32(x.last&(1<<flapWindow-1)), flapWindow, x.why)
 }
 
-// stood drops what was asked before a standstill.
+// stood drops what was asked before a pause.
 func (c *checker) stood() { c.gen++ }
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -73,8 +73,8 @@
 // Close ends the term.
 func (a *Actor) Close() { a.stopped = true; a.check.timer.Stop() }
 
-// Stood hears that the process stood still.
-func (a *Actor) Stood(gap time.Duration) {
+// Paused hears that the process was paused.
+func (a *Actor) Paused(gap time.Duration) {
 	a.check.stood()
 	for _, s := range a.active {
 		s.progress += gap
--- a/internal/scale/fit.go
+++ b/internal/scale/fit.go
@@ -11,7 +11,8 @@
 type figure struct {
 	name, unit string
 	of         func(r *Result) float64
-	digits     int
+	// perWorker: of is the sum of all workers, the estimate is for one of them.
+	perWorker bool
 }
 
 func (r *Result) role(role Role) RoleResult {
@@ -27,35 +28,36 @@
 	leader := func(r *Result) RoleResult { return r.role(RoleLeader) }
 	other := func(r *Result) RoleResult { return r.role(RoleOther) }
 	both := func(x Rates) float64 { return (x.ToController + x.FromController) / 1000 }
+	workers := func(r *Result) float64 { return float64(r.AtEnd.Workers) }
 	return []figure{
-		{"leader, processor", "cores", func(r *Result) float64 { return leader(r).CPU }, 3},
-		{"leader, memory", "MB", func(r *Result) float64 { return leader(r).MemMB }, 1},
-		{"leader, sockets", "", func(r *Result) float64 { return leader(r).Sockets }, 0},
-		{"leader, reports", "/s", func(r *Result) float64 { return leader(r).Interfaces[dev.Reports].Messages }, 1},
-		{"leader, reports", "KB/s", func(r *Result) float64 { return both(leader(r).Interfaces[dev.Reports]) }, 1},
-		{"leader, direct orders", "/s", func(r *Result) float64 { return leader(r).Interfaces[dev.Orders].Messages }, 1},
-		{"leader, direct orders", "KB/s", func(r *Result) float64 { return both(leader(r).Interfaces[dev.Orders]) }, 1},
-		{"leader, state service", "KB/s", func(r *Result) float64 { return both(leader(r).Interfaces[dev.State]) }, 1},
-		{"leader, peers", "KB/s", func(r *Result) float64 { return both(leader(r).Interfaces[dev.Peers]) }, 1},
-		{"leader, cloud", "calls/s", func(r *Result) float64 { return leader(r).Interfaces[dev.Cloud].Messages }, 2},
-		{"leader, cloud", "KB/s", func(r *Result) float64 { return both(leader(r).Interfaces[dev.Cloud]) }, 1},
-		{"other controller, processor", "cores", func(r *Result) float64 { return other(r).CPU }, 3},
-		{"other controller, memory", "MB", func(r *Result) float64 { return other(r).MemMB }, 1},
-		{"other controller, sockets", "", func(r *Result) float64 { return other(r).Sockets }, 0},
-		{"other controller, users", "/s", func(r *Result) float64 { return other(r).Interfaces[dev.Users].Messages }, 1},
-		{"other controller, users", "KB/s", func(r *Result) float64 { return both(other(r).Interfaces[dev.Users]) }, 1},
-		{"other controller, state service", "KB/s", func(r *Result) float64 { return both(other(r).Interfaces[dev.State]) }, 1},
-		{"other controller, peers", "/s", func(r *Result) float64 { return other(r).Interfaces[dev.Peers].Messages }, 1},
-		{"other controller, peers", "KB/s", func(r *Result) float64 { return both(other(r).Interfaces[dev.Peers]) }, 1},
-		{"state service, requests", "/s", func(r *Result) float64 { return r.State.Requests }, 1},
-		{"state service, changes", "/s", func(r *Result) float64 { return r.State.Changes }, 1},
-		{"state service, keys", "", func(r *Result) float64 { return float64(r.State.Keys) }, 0},
-		{"state service, in", "KB/s", func(r *Result) float64 { return r.State.In / 1000 }, 1},
-		{"state service, out", "KB/s", func(r *Result) float64 { return r.State.Out / 1000 }, 1},
-		{"a worker's messages", "B/s", func(r *Result) float64 { return r.Worker.BytesPerS }, 0},
-		{"a hollow worker, processor", "% of a core", func(r *Result) float64 { return r.Worker.CPUPercent }, 3},
-		{"a hollow worker, memory", "MB", func(r *Result) float64 { return r.Worker.MemMB }, 3},
-		{"urgent start, p99", "s", func(r *Result) float64 { return r.Urgent.P99 }, 2},
+		{"leader, processor", "cores", func(r *Result) float64 { return leader(r).CPU }, false},
+		{"leader, memory", "MB", func(r *Result) float64 { return leader(r).MemMB }, false},
+		{"leader, sockets", "", func(r *Result) float64 { return leader(r).Sockets }, false},
+		{"leader, reports", "/s", func(r *Result) float64 { return leader(r).Interfaces[dev.Reports].Messages }, false},
+		{"leader, reports", "KB/s", func(r *Result) float64 { return both(leader(r).Interfaces[dev.Reports]) }, false},
+		{"leader, direct orders", "/s", func(r *Result) float64 { return leader(r).Interfaces[dev.Orders].Messages }, false},
+		{"leader, direct orders", "KB/s", func(r *Result) float64 { return both(leader(r).Interfaces[dev.Orders]) }, false},
+		{"leader, state service", "KB/s", func(r *Result) float64 { return both(leader(r).Interfaces[dev.State]) }, false},
+		{"leader, peers", "KB/s", func(r *Result) float64 { return both(leader(r).Interfaces[dev.Peers]) }, false},
+		{"leader, cloud", "calls/s", func(r *Result) float64 { return leader(r).Interfaces[dev.Cloud].Messages }, false},
+		{"leader, cloud", "KB/s", func(r *Result) float64 { return both(leader(r).Interfaces[dev.Cloud]) }, false},
+		{"other controller, processor", "cores", func(r *Result) float64 { return other(r).CPU }, false},
+		{"other controller, memory", "MB", func(r *Result) float64 { return other(r).MemMB }, false},
+		{"other controller, sockets", "", func(r *Result) float64 { return other(r).Sockets }, false},
+		{"other controller, users", "/s", func(r *Result) float64 { return other(r).Interfaces[dev.Users].Messages }, false},
+		{"other controller, users", "KB/s", func(r *Result) float64 { return both(other(r).Interfaces[dev.Users]) }, false},
+		{"other controller, state service", "KB/s", func(r *Result) float64 { return both(other(r).Interfaces[dev.State]) }, false},
+		{"other controller, peers", "/s", func(r *Result) float64 { return other(r).Interfaces[dev.Peers].Messages }, false},
+		{"other controller, peers", "KB/s", func(r *Result) float64 { return both(other(r).Interfaces[dev.Peers]) }, false},
+		{"state service, requests", "/s", func(r *Result) float64 { return r.State.Requests }, false},
+		{"state service, changes", "/s", func(r *Result) float64 { return r.State.Changes }, false},
+		{"state service, keys", "", func(r *Result) float64 { return float64(r.State.Keys) }, false},
+		{"state service, in", "KB/s", func(r *Result) float64 { return r.State.In / 1000 }, false},
+		{"state service, out", "KB/s", func(r *Result) float64 { return r.State.Out / 1000 }, false},
+		{"all workers' messages", "B/s", func(r *Result) float64 { return r.Worker.BytesPerS * workers(r) }, true},
+		{"all hollow workers, processor", "% of a core", func(r *Result) float64 { return r.Worker.CPUPercent * workers(r) }, true},
+		{"all hollow workers, memory", "MB", func(r *Result) float64 { return r.Worker.MemMB * workers(r) }, true},
+		{"urgent start, p99", "s", func(r *Result) float64 { return r.Urgent.P99 }, false},
 	}
 }
 
--- a/internal/sim/cancel_model_test.go
+++ b/internal/sim/cancel_model_test.go
@@ -16,8 +16,27 @@
 const (
 	cLease, cHold = 3, 2
 	cCancel       = cLease + cHold - 1
+	// A worker waits so long for the answer to a report.
+	cPatience = 1
 )
 
+// cVariant is what a model has besides the first leader.
+type cVariant uint8
+
+const (
+	cNext  cVariant = iota // the next leader
+	cPeers                 // what the others tell the first one
+	cHop                   // a controller that passes the worker's reports on, and the next leader
+)
+
+// cReport is a report at a controller that passes it on.
+type cReport struct {
+	sent     int8 // steps since the worker sent it, -1: there is none
+	answered bool // the leader has, and the answer is under way
+	stops    bool // the answer says stop
+	by       int8 // which leader's
+}
+
 type cLeader struct {
 	leads bool
 	knows bool // of the cancellation
@@ -41,6 +60,7 @@
 	token    int8 // that the worker has seen
 	leaders  [2]cLeader
 	otherCut bool // the other node is cut from the leaders
+	report   cReport
 }
 
 type cGuards struct {
@@ -51,9 +71,57 @@
 	learns bool // and what they know is learned
 	all    bool // all others have to be heard
 	wakes  bool // a machine that goes on looks at its lease first
+	passes bool // a controller answers nothing by itself
+	sent   bool // a lease counts from when the report was sent, not from when its answer comes
+}
+
+// passOn is what happens to a report at a controller that passes it on.
+func (s cState) passOn(g cGuards, do func(what string, n cState)) {
+	r := s.report
+	if r.sent < 0 {
+		if !s.hung {
+			n := s
+			n.report = cReport{}
+			do("sends a report", n)
+		}
+		return
+	}
+	n := s
+	n.report = cReport{sent: -1}
+	do("the report or its answer is lost", n)
+	if !r.answered {
+		for i, l := range s.leaders {
+			if l.leads && min(l.proof, l.clear) <= g.hold {
+				n := s
+				n.report.answered, n.report.stops, n.report.by = true, l.knows && g.order, int8(i)
+				do("a leader answers what was passed on", n)
+			}
+		}
+		if !g.passes {
+			n := s
+			n.report.answered, n.report.by = true, s.token
+			do("the controller answers by itself", n)
+		}
+		return
+	}
+	if s.hung || r.sent > cPatience || r.by < s.token {
+		return // dropped
+	}
+	n.token, n.lease = r.by, cLease-r.sent
+	if !g.sent {
+		n.lease = cLease
+	}
+	if r.stops {
+		n.running = false
+	}
+	do("the worker gets the answer", n)
 }
 
-func (s cState) next(g cGuards, peers bool, do func(what string, n cState)) {
+func (s cState) next(g cGuards, v cVariant, do func(what string, n cState)) {
+	peers := v == cPeers
+	if v == cHop {
+		s.passOn(g, do)
+	}
 	for v := range int8(3) {
 		if v != s.service {
 			n := s
@@ -137,7 +205,7 @@
 			n.running, n.token = false, int8(i)
 			do("a command to stop", n)
 		}
-		if !s.hung && min(l.proof, l.clear) <= g.hold && int8(i) >= s.token { // a report is answered
+		if v != cHop && !s.hung && min(l.proof, l.clear) <= g.hold && int8(i) >= s.token { // a report is answered
 			n := s
 			n.lease, n.token = cLease, int8(i)
 			if l.knows && g.order {
@@ -147,6 +215,11 @@
 		}
 	}
 	n = s
+	if n.report.sent >= 0 {
+		if n.report.sent++; n.report.sent > cPatience+1 {
+			n.report = cReport{sent: -1}
+		}
+	}
 	if n.told >= 0 {
 		n.told = min(n.told+1, cCancel+1)
 	}
@@ -176,10 +249,9 @@
 	do("a step", n)
 }
 
-// exploreCancel goes through all states: of the first leader and the next, or of the first
-// alone with what the others tell it.
-func exploreCancel(g cGuards, peers bool, most int) (states int, way []string) {
-	start := cState{running: true, lease: cLease, told: -1}
+// exploreCancel goes through all states of a variant.
+func exploreCancel(g cGuards, v cVariant, most int) (states int, way []string) {
+	start := cState{running: true, lease: cLease, told: -1, report: cReport{sent: -1}}
 	start.leaders[0] = cLeader{leads: true, asked: -1, clear: 100, peer: -1}
 	type from struct {
 		s    cState
@@ -192,7 +264,7 @@
 			continue
 		}
 		var bad *cState
-		s.next(g, peers, func(what string, n cState) {
+		s.next(g, v, func(what string, n cState) {
 			if _, ok := seen[n]; ok || bad != nil {
 				return
 			}
@@ -216,33 +288,39 @@
 // time, whatever the state service and the other nodes answer and when, and that it would not
 // be with any of the conditions taken out.
 func TestCancelModel(t *testing.T) {
-	all := cGuards{cHold, true, true, true, true, true, true}
+	all := cGuards{hold: cHold, asked: true, order: true, clears: true, learns: true, all: true, wakes: true, passes: true, sent: true}
 	const most = 4_000_000
-	for _, peers := range []bool{false, true} {
+	for _, v := range []cVariant{cNext, cPeers, cHop} {
 		begun := time.Now()
-		n, way := exploreCancel(all, peers, most)
+		n, way := exploreCancel(all, v, most)
 		if way != nil || n >= most {
-			t.Fatalf("%d states: the task outlives its cancellation: %v", n, way)
+			t.Fatalf("variant %d, %d states: the task outlives its cancellation: %v", v, n, way)
 		}
-		t.Logf("others tell %v: %d states in %v", peers, n, time.Since(begun).Round(time.Millisecond))
+		t.Logf("variant %d: %d states in %v", v, n, time.Since(begun).Round(time.Millisecond))
 	}
 	for _, c := range []struct {
-		name  string
-		peers bool
-		out   func(g *cGuards)
+		name    string
+		variant cVariant
+		out     func(g *cGuards)
 	}{
-		{"the end of the hold", false, func(g *cGuards) { g.hold = 50 }},
-		{"a hold that fits", false, func(g *cGuards) { g.hold++ }},
-		{"counting a proof from its question", false, func(g *cGuards) { g.asked = false }},
-		{"orders to stop", false, func(g *cGuards) { g.order = false }},
-		{"counting the others' answers from the question", true, func(g *cGuards) { g.clears = false }},
-		{"learning what the others know", true, func(g *cGuards) { g.learns = false }},
-		{"a look at the lease when a machine goes on", false, func(g *cGuards) { g.wakes = false }},
-		{"hearing all others", true, func(g *cGuards) { g.all = false }},
+		{"the end of the hold", cNext, func(g *cGuards) { g.hold = 50 }},
+		{"a hold that fits", cNext, func(g *cGuards) { g.hold++ }},
+		{"counting a proof from its question", cNext, func(g *cGuards) { g.asked = false }},
+		{"orders to stop", cNext, func(g *cGuards) { g.order = false }},
+		{"counting the others' answers from the question", cPeers, func(g *cGuards) { g.clears = false }},
+		{"learning what the others know", cPeers, func(g *cGuards) { g.learns = false }},
+		{"a look at the lease when a machine goes on", cNext, func(g *cGuards) { g.wakes = false }},
+		{"hearing all others", cPeers, func(g *cGuards) { g.all = false }},
+		{"passing every report on", cHop, func(g *cGuards) { g.passes = false }},
+		{"counting a lease from when the report was sent", cHop, func(g *cGuards) { g.sent = false }},
+		{"a hold that fits, with the hop", cHop, func(g *cGuards) { g.hold++ }},
+		{"counting a proof from its question, with the hop", cHop, func(g *cGuards) { g.asked = false }},
+		{"orders to stop, with the hop", cHop, func(g *cGuards) { g.order = false }},
+		{"a look at the lease when a machine goes on, with the hop", cHop, func(g *cGuards) { g.wakes = false }},
 	} {
 		g := all
 		c.out(&g)
-		n, way := exploreCancel(g, c.peers, most)
+		n, way := exploreCancel(g, c.variant, most)
 		if way == nil {
 			t.Errorf("without %s nothing happens in %d states", c.name, n)
 		}
--- a/internal/sim/confirmed_test.go
+++ b/internal/sim/confirmed_test.go
@@ -21,7 +21,7 @@
 	front                         string        // who is asked: a follower, the old leader, the new one
 	peers                         bool          // the old leader is cut from the others, too
 	deafTo                        bool          // the workers reach only the old leader
-	freeze                        time.Duration // it stands still in the outage
+	freeze                        time.Duration // it is paused in the outage
 	late                          time.Duration // the confirmation's write is answered so late
 	twice                         bool          // and carried out a second time
 	crash                         bool          // the old leader ends in the outage, and is back
@@ -185,8 +185,8 @@
 		{name: "passed on by the refused node", refused: 150 * s, asked: 200 * time.Millisecond, outage: 1500 * time.Millisecond, front: "old"},
 		{name: "the write is answered late", refused: 2 * s, asked: 50 * time.Millisecond, outage: 2 * s, late: 600 * time.Millisecond},
 		{name: "the write comes twice", refused: 2 * s, asked: 300 * time.Millisecond, outage: 2 * s, twice: true},
-		{name: "stands still", refused: 2 * s, asked: 300 * time.Millisecond, outage: 2 * s, freeze: 14 * s},
-		{name: "stands still for a lease", refused: 2 * s, asked: 300 * time.Millisecond, outage: 2 * s, freeze: 30 * s},
+		{name: "is paused", refused: 2 * s, asked: 300 * time.Millisecond, outage: 2 * s, freeze: 14 * s},
+		{name: "is paused for a lease", refused: 2 * s, asked: 300 * time.Millisecond, outage: 2 * s, freeze: 30 * s},
 		{name: "ends and is back", refused: 150 * s, asked: 300 * time.Millisecond, outage: 2 * s, crash: true},
 		{name: "the outage ends just before the hold", refused: 2 * s, asked: 300 * time.Millisecond, outage: 2 * s, lasts: 21 * s},
 		{name: "the outage ends just after the hold", refused: 2 * s, asked: 300 * time.Millisecond, outage: 2 * s, lasts: 23 * s},
--- a/internal/sim/flood_test.go
+++ b/internal/sim/flood_test.go
@@ -51,7 +51,7 @@
 		}
 	}, true},
 	{"outage", 3, nil, func(w *World) { w.State.Outage(8 * time.Second) }, true},
-	{"leader stands still", 3, nil, func(w *World) {
+	{"leader is paused", 3, nil, func(w *World) {
 		if l := w.Leader(); l >= 0 {
 			w.Freeze(l, 12*time.Second)
 		}
--- a/internal/sim/further_test.go
+++ b/internal/sim/further_test.go
@@ -100,33 +100,44 @@
 		t.Run(strconv.FormatUint(s, 10), func(t *testing.T) {
 			t.Parallel()
 			w := meetingsWorld(50000, s)
-			end := 100 * time.Second
-			for range 5 {
-				at := w.secs(10, 220)
-				for k := range 2 + w.rng.IntN(2) {
-					kind, from, d := w.rng.IntN(furtherMeetings), at+w.secs(0, 15), w.secs(3, 100)
-					if k > 0 && w.rng.IntN(3) == 0 {
-						kind = w.rng.IntN(meetings)
-						w.At(from, func() { w.meet(kind, d) })
-					} else {
-						w.At(from, func() { w.further(kind, d) })
-					}
-					end = max(end, from+max(3*d, 130*time.Second))
-				}
-			}
-			w.calmAfter(end)
+			w.drawFurther()
 			w.Run(1500 * time.Second)
-			w.verdict(t, 10)
-			final := 0 // many are cancelled on such days, but each has its final word
-			for _, j := range w.jobs {
-				if j.toldDone || j.cancelledAt > 0 {
-					final++
-				}
-			}
-			if final < 60 {
-				t.Errorf("%d of %d jobs have a final word", final, len(w.jobs))
-			}
-			t.Logf("%d starts after a confirmed cancellation, %d odd jobs refused", w.StartsAfterCancel, w.OddRefused)
+			w.furtherVerdict(t)
 		})
 	}
 }
+
+// drawFurther plans a day on which the further meetings come together with each other and
+// with the first.
+func (w *World) drawFurther() {
+	end := 100 * time.Second
+	for range 5 {
+		at := w.secs(10, 220)
+		for k := range 2 + w.rng.IntN(2) {
+			kind, from, d := w.rng.IntN(furtherMeetings), at+w.secs(0, 15), w.secs(3, 100)
+			if k > 0 && w.rng.IntN(3) == 0 {
+				kind = w.rng.IntN(meetings)
+				w.At(from, func() { w.meet(kind, d) })
+			} else {
+				w.At(from, func() { w.further(kind, d) })
+			}
+			end = max(end, from+max(3*d, 130*time.Second))
+		}
+	}
+	w.calmAfter(end)
+}
+
+func (w *World) furtherVerdict(t *testing.T) {
+	t.Helper()
+	w.verdict(t, 10)
+	final := 0 // many are cancelled on such days, but each has its final word
+	for _, j := range w.jobs {
+		if j.toldDone || j.cancelledAt > 0 {
+			final++
+		}
+	}
+	if final < 60 {
+		t.Errorf("%d of %d jobs have a final word", final, len(w.jobs))
+	}
+	t.Logf("%d starts after a confirmed cancellation, %d odd jobs refused", w.StartsAfterCancel, w.OddRefused)
+}
--- a/internal/sim/limits_test.go
+++ b/internal/sim/limits_test.go
@@ -7,7 +7,7 @@
 )
 
 // TestLimitAcrossLeaders has a team with more work than its limit while machines are lost
-// and come back, orders come late, and leaders crash, stand still and follow one another:
+// and come back, orders come late, and leaders crash, are paused and follow one another:
 // what is placed by one leader while another's orders are under way counts for both.
 // After each step the checker sums what the team's tasks use on machines.
 func TestLimitAcrossLeaders(t *testing.T) {
--- a/internal/sim/meetings_test.go
+++ b/internal/sim/meetings_test.go
@@ -80,10 +80,13 @@
 // meetingsWorld is a world with a workload, users behind a load balancer, and late, held and
 // copied messages; each third has seven controllers.
 func meetingsWorld(base, seed uint64) *World {
-	w := world(base + seed)
 	if seed%3 == 0 {
-		w = seven(base + seed)
+		return withMeetings(seven(base + seed))
 	}
+	return withMeetings(world(base + seed))
+}
+
+func withMeetings(w *World) *World {
 	w.Balance()
 	w.State.Slow, w.Stuck, w.Copies = 50, 700, 150
 	w.Workload(60, 200*time.Second)
@@ -103,22 +106,27 @@
 		t.Run(strconv.FormatUint(s, 10), func(t *testing.T) {
 			t.Parallel()
 			w := meetingsWorld(20000, s)
-			end := 100 * time.Second
-			for range 5 {
-				at, together := w.secs(10, 220), 2+w.rng.IntN(2)
-				for range together {
-					kind, from, d := w.rng.IntN(meetings), at+w.secs(0, 15), w.secs(3, 100)
-					w.At(from, func() { w.meet(kind, d) })
-					end = max(end, from+3*d) // of the other troubles, some last longer
-				}
-			}
-			w.calmAfter(end)
+			w.drawMeetings()
 			w.Run(1500 * time.Second)
 			w.verdict(t, 25)
 		})
 	}
 }
 
+// drawMeetings plans a day on which the first meetings come together.
+func (w *World) drawMeetings() {
+	end := 100 * time.Second
+	for range 5 {
+		at, together := w.secs(10, 220), 2+w.rng.IntN(2)
+		for range together {
+			kind, from, d := w.rng.IntN(meetings), at+w.secs(0, 15), w.secs(3, 100)
+			w.At(from, func() { w.meet(kind, d) })
+			end = max(end, from+3*d) // of the other troubles, some last longer
+		}
+	}
+	w.calmAfter(end)
+}
+
 // TestLeaderAlone: a leader is cut from the state service and from the other controllers,
 // not from workers and users. The next one shows some workers its token, by which the old
 // one learns that it leads no more; without that the workers stayed with it until its hold
--- a/internal/sim/outage_test.go
+++ b/internal/sim/outage_test.go
@@ -8,7 +8,7 @@
 )
 
 // TestOutages draws long outages, just before which users cancel through any node, nodes are
-// refused alone, cut from each other (what is held arrives in the outage), end, stand still,
+// refused alone, cut from each other (what is held arrives in the outage), end, are paused,
 // and workers reach only some: nothing cancelled may outlive cancel_s, nor run twice.
 func TestOutages(t *testing.T) {
 	t.Parallel()
--- a/internal/sim/rollout_test.go
+++ b/internal/sim/rollout_test.go
@@ -236,7 +236,7 @@
 		}
 		expect(t, w, 1, "done", "")
 	})
-	t.Run("leader stands still", func(t *testing.T) {
+	t.Run("leader is paused", func(t *testing.T) {
 		w := serviceWorld(t, Config{Seed: 86}, 6)
 		roll(t, w, "web:good", nil)
 		for i := range 6 {
--- a/internal/sim/standstill_test.go
+++ b/internal/sim/standstill_test.go
@@ -8,7 +8,7 @@
 	"brooklb/internal/actor"
 )
 
-// TestStandstill guards against a leader that stood still and goes on with what
+// TestStandstill guards against a leader that was paused and goes on with what
 // it had planned: a machine it took for silent was silent only because it didn't
 // listen, and the cloud knows no tokens (lumiar ops, inc-c203: on waking it went
 // on renting and took the workers' silence for a cut).
@@ -46,7 +46,7 @@
 				t.Errorf("%v: nobody took over", gap)
 			}
 		} else if leads < 0 || w.NodeName(leads) != old {
-			t.Errorf("%v: the leader changed for a standstill shorter than its lease", gap)
+			t.Errorf("%v: the leader changed for a pause shorter than its lease", gap)
 		}
 		for _, m := range w.Cloud.machines {
 			if m.deleted && m.goneAt > 30*time.Second {
@@ -125,7 +125,7 @@
 
 // TestNewLeaderAsksWorkers guards against a gap of several seconds in which
 // nothing starts, while the workers still wait for an answer of a leader that
-// stands still (measured on ops days: 2.7 s to the first start, 8 s to the last
+// is paused (measured on ops days: 2.7 s to the first start, 8 s to the last
 // worker).
 func TestNewLeaderAsksWorkers(t *testing.T) {
 	w := world(14)
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -98,7 +98,7 @@
 	for i := 0; i < 5; i++ {
 		s := w.nodes[w.rng.IntN(len(w.nodes))]
 		if s.up && (w.now >= s.frozen || w.now-s.alive < 2500*time.Millisecond) {
-			return s // the load balancer takes some time to notice a standstill
+			return s // the load balancer takes some time to notice a pause
 		}
 	}
 	return w.nodes[0]
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -90,7 +90,6 @@
 	history []string // key of each revision
 	keep    int
 	strange string
-	writes  int
 }
 
 func (s *service) change() {
--- a/internal/statestore/store.go
+++ b/internal/statestore/store.go
@@ -72,7 +72,7 @@
 	waits  []wait
 
 	contact   time.Duration // last definite answer
-	woke      time.Duration // end of the last standstill of ours
+	woke      time.Duration // end of the last pause of ours
 	refusedAt time.Duration
 	queue     []*read
 	reading   int
@@ -171,9 +171,9 @@
 // Contact is the time of the last definite answer of the state service.
 func (s *Store) Contact() time.Duration { return s.contact }
 
-// Stood hears that the process stood still. Reads that wait are answered at
+// Paused hears that the process was paused. Reads that wait are answered at
 // once that they can't be had: what they would tell may be old by now.
-func (s *Store) Stood() {
+func (s *Store) Paused() {
 	s.woke = s.env.Now()
 	q := s.queue
 	s.queue = nil
--- a/internal/units/leader.go
+++ b/internal/units/leader.go
@@ -84,8 +84,8 @@
 // Close ends the term.
 func (a *Actor) Close() { a.stopped = true }
 
-// Stood hears that the process stood still: a probe's silence was ours.
-func (a *Actor) Stood(gap time.Duration) {
+// Paused hears that the process was paused: a probe's silence was ours.
+func (a *Actor) Paused(gap time.Duration) {
 	for _, p := range a.probes {
 		p.heard += gap
 	}
--- a/internal/units/record.go
+++ b/internal/units/record.go
@@ -20,8 +20,9 @@
 
 const (
 	format = 1
-	// MaxCount is the largest count of a resource, MaxNamed the most resources.
+	// MaxCount is the largest count of a resource.
 	MaxCount = 1_000_000
+	// MaxNamed is the largest number of resources.
 	MaxNamed = 1000
 	mostTeam = 50 // teams with a limit or share of a resource
 )
--- a/internal/wire/fuzz_test.go
+++ b/internal/wire/fuzz_test.go
@@ -35,7 +35,7 @@
 		if err == nil && (r.Machine == "" || r.Session == 0) {
 			t.Errorf("accepted %+v", r)
 		}
-		_, _ = ReportHead(b)
+		_, _, _ = ReportHead(b)
 	})
 }
 
--- a/internal/wire/rollout.go
+++ b/internal/wire/rollout.go
@@ -335,7 +335,7 @@
 	New    int    `json:"new"` // instances wanted of the new version
 	Old    int    `json:"old"`
 	All    int    `json:"all"`
-	// Why it stands still, stopped or went back, in one sentence.
+	// Why it is paused, stopped or went back, in one sentence.
 	Why      string   `json:"why,omitempty"`
 	Evidence []string `json:"evidence,omitempty"`
 	// Live is what the leader sees; other nodes don't know it.
--- a/internal/workers/greet.go
+++ b/internal/workers/greet.go
@@ -12,7 +12,7 @@
 	// After a change of leader the workers come by themselves, most of them
 	// within this time if their last leader's machine is there to refuse them.
 	greetAfter = 700 * time.Millisecond
-	// Those that still wait for an answer of a leader that stands still or is cut
+	// Those that still wait for an answer of a leader that is paused or is cut
 	// off come seconds later. They are asked instead, so many at once.
 	greetFor     = 8 * time.Second
 	mostGreeted  = 32
--- a/internal/workers/orders.go
+++ b/internal/workers/orders.go
@@ -15,7 +15,7 @@
 func (a *Actor) orders(m *ledger.Machine, all bool) []model.Order {
 	var out []model.Order
 	now := a.env.Now()
-	direct := len(m.Sent) + len(m.Ambiguous) // starts of which copies may come
+	direct := m.Kept()
 	if all {
 		for _, t := range m.Strays {
 			out = append(out, model.Order{Op: model.Stop, Job: t.Job, Task: t.Task, Attempt: t.Attempt})
@@ -63,7 +63,7 @@
 			}
 			if all {
 				p.ToldAt = now
-			} else if direct++; direct > mostKept {
+			} else if direct++; direct > ledger.DirectStarts(p.Job.Spec.Priority) {
 				continue // the answer to the next report tells it
 			}
 			p.Session, p.SentAt = m.Session, now
@@ -83,9 +83,6 @@
 	// with copies), or, though it was done, beside a team's work at its limit, or long after
 	// its job was cancelled (sim.TestCopiesOfStarts).
 	copiesFor = 5 * time.Minute
-	// Only so many attempts are kept on one machine, since each report lists them all: while
-	// there are as many, starts go in answers to reports, of which no copy is executed.
-	mostKept = 64
 )
 
 // mayForget says whether the worker may forget an exited attempt. Its end must
@@ -125,6 +122,15 @@
 	})
 }
 
+// call sends a request to the worker, the way its reports come.
+func (a *Actor) call(m *ledger.Machine, c actor.Call) {
+	if a.Send != nil {
+		a.Send(m.Via, c)
+		return
+	}
+	a.env.Call(c)
+}
+
 func (a *Actor) push(m *ledger.Machine) {
 	now := a.env.Now()
 	if m.Addr == "" || !m.Heard || now-m.LastHeard > 3*a.cfg.Report {
@@ -146,7 +152,7 @@
 		}
 	}
 	m.Direct++
-	a.env.Call(actor.Call{Addr: m.Addr, Method: "POST", Path: wire.PathOrders, Timeout: directTimeout,
+	a.call(m, actor.Call{Addr: m.Addr, Method: "POST", Path: wire.PathOrders, Timeout: directTimeout,
 		Body: wire.Orders(a.token, session, out), Done: func(ans actor.Answer) {
 			m.Direct--
 			if a.stopped {
--- a/internal/workers/proof.go
+++ b/internal/workers/proof.go
@@ -61,9 +61,9 @@
 	return last + time.Duration(float64(a.cfg.Lease)*drift) + 1500*time.Millisecond
 }
 
-// Stood hears that we stood still, or had to refuse reports, for a while, yet lead still:
+// Paused hears that we were paused, or had to refuse reports, for a while, yet lead still:
 // nobody's silence in that time is his own.
-func (a *Actor) Stood(gap time.Duration) {
+func (a *Actor) Paused(gap time.Duration) {
 	for _, m := range a.led.Sorted() {
 		if m.Heard {
 			m.LastHeard += gap
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -38,6 +38,9 @@
 	Proven func() time.Duration
 	// Quiet reports whether nothing may be started now, not even what is recorded.
 	Quiet func() bool
+	// Send sends a call to a worker by way of the controller that it reports to; nil: always
+	// straight.
+	Send func(via string, c actor.Call)
 	// OnEnded hears of a service's task that ended by itself.
 	OnEnded func(p *ledger.Placement, cause string)
 }
@@ -83,7 +86,11 @@
 }
 
 // Report takes in a report and returns the orders for the answer.
-func (a *Actor) Report(r *model.Report) []model.Order {
+func (a *Actor) Report(r *model.Report) []model.Order { return a.ReportVia("", r) }
+
+// ReportVia is Report for one that came by way of another controller; orders go that way,
+// too, until the worker reports otherwise.
+func (a *Actor) ReportVia(via string, r *model.Report) []model.Order {
 	if a.led.Returned[r.Machine] {
 		return nil // sent before its machine was returned
 	}
@@ -98,6 +105,7 @@
 		return nil
 	}
 	m.LastAnswered = now
+	m.Via = via
 	if a.stuck(m) && a.OnStuck != nil {
 		// Its lease must not be renewed under this token.
 		a.OnStuck()
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -95,11 +95,12 @@
 // than its worker can keep: the others go in the answer to a report, none is lost, and what
 // was started directly is not forgotten, done or not, while a copy may come.
 func TestStartsThatAreKept(t *testing.T) {
-	const tasks = 2*mostKept + 5
+	most := ledger.DirectStarts(model.Low)
+	tasks := 2*most + 5
 	e := &env{now: time.Minute}
 	e.answer = func(actor.Call) actor.Answer { return actor.Answer{Status: 200} }
 	l := ledger.New(e, statestore.New(e, statestore.Config{RPS: 10, WriteRPS: 10, Nodes: 1, TxnOps: 8}), 7, []settings.Team{{Name: "t"}})
-	l.Types["g"] = &model.MachineType{Name: "g", Cap: model.Need{CPUs: tasks}}
+	l.Types["g"] = &model.MachineType{Name: "g", Cap: model.Need{CPUs: float64(tasks)}}
 	a := New(e, l, 7, Config{Lease: 30 * time.Second, Hold: 20 * time.Second, Report: 3 * time.Second})
 	rec := ledger.NewRecord(&model.Spec{ID: "j-1", Team: "t", Tasks: tasks, Need: model.Need{CPUs: 1}, Image: "i"}, 0, "", 48)
 	l.JobEvent(ledger.JobKey("j-1"), &statestore.Item{Value: rec.Encode(), Stamp: 1})
@@ -124,8 +125,8 @@
 	a.Push(m)
 	e.now += 10 * time.Millisecond
 	e.timers.Run(e.now)
-	if e.calls != 1 || len(m.Sent) != mostKept {
-		t.Fatalf("%d commands with %d starts, want one with %d", e.calls, len(m.Sent), mostKept)
+	if e.calls != 1 || len(m.Sent) != most {
+		t.Fatalf("%d commands with %d starts, want one with %d", e.calls, len(m.Sent), most)
 	}
 	var done []model.TaskReport
 	for i := range tasks {
@@ -142,8 +143,8 @@
 		t.Errorf("%d attempts are forgotten of which copies may come", n)
 	}
 	e.now += copiesFor
-	if _, n := count(done...); n != mostKept {
-		t.Errorf("%d attempts are forgotten in the end, want %d", n, mostKept)
+	if _, n := count(done...); n != most {
+		t.Errorf("%d attempts are forgotten in the end, want %d", n, most)
 	}
 	if len(m.Sent) > 0 {
 		t.Errorf("%d starts are remembered for ever", len(m.Sent))
--- a/test.sh
+++ b/test.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Builds as deploy/service.toml does, vets, checks the format, runs the tests: all but those
+# Builds as deploy/service.toml does, vets, checks the format, runs staticcheck (tools.mod has
+# it, so that it adds nothing to the program's own modules) and the tests: all but those
 # in KNOWN-RED.txt, one a line (its name first, then the cause and the issue), which it prints.
 set -e
 cd "$(dirname "$0")"
@@ -7,11 +8,12 @@
 echo "$build"
 sh -c "$build"
 go vet ./...
-unformatted=$(gofmt -l brooklb.go cmd internal)
+unformatted=$(gofmt -l .)
 if [ -n "$unformatted" ]; then
 	echo "not formatted: $unformatted"
 	exit 1
 fi
+go tool -modfile=tools.mod staticcheck ./...
 skip=
 if [ -s KNOWN-RED.txt ]; then
 	if [ "$(wc -l <KNOWN-RED.txt)" -gt 3 ]; then
