--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -126,6 +126,19 @@
 	}
 }
 
+// refusedEvery is how often the log says that reports are not passed on.
+const refusedEvery = 15 * time.Second
+
+// notPassedOn hears of a report that could not be passed on to the leader.
+func (n *Node) notPassedOn(report []byte) {
+	n.noteSeeker(report)
+	n.notPassed++
+	if now := n.env.Now(); now-n.notPassedTold >= refusedEvery {
+		n.env.Log().Info("reports are not passed on", "leader", n.leaderLabel(), "refused", n.notPassed)
+		n.notPassed, n.notPassedTold = 0, now
+	}
+}
+
 // serveForwarding answers what other controllers pass on, and what a leader has us send; it
 // returns false for other paths.
 func (n *Node) serveForwarding(r *httpx.Request, reply func(httpx.Response)) bool {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -68,6 +68,9 @@
 	reporters   *forward.Recent
 	spread      bool
 	spreadToken uint64
+	// notPassed counts the reports that were not passed on since the log said so.
+	notPassed     int
+	notPassedTold time.Duration
 }
 
 // term is everything that exists only while this node leads.
@@ -144,7 +147,7 @@
 // New makes a node; Start sets it going.
 func New(env actor.Env, set *settings.Settings, opt Options) *Node {
 	f := &set.Facts
-	n := &Node{env: env, set: set, opt: opt, seekers: map[string]time.Duration{}, woke: -time.Hour, marks: map[string]uint64{}}
+	n := &Node{env: env, set: set, opt: opt, seekers: map[string]time.Duration{}, woke: -time.Hour, notPassedTold: -refusedEvery, marks: map[string]uint64{}}
 	// A leader that can't reach the state service may keep workers' leases
 	// alive for so long that a job cancelled through another node is still gone
 	// in time: the hold, then a lease, with a margin for drift and delays.
@@ -184,7 +187,7 @@
 	n.peers.OnStatus = n.heard
 	n.reporters = forward.NewRecent(reportersFor(f.Workers.ReportS))
 	n.forwarder = forward.NewForwarder(env, set.Label, n.leaderEndpoint)
-	n.forwarder.Refused = n.noteSeeker
+	n.forwarder.Refused = n.notPassedOn
 	n.door.Understood = func() bool { return n.peers.AllRead(ledger.ServiceFormat) }
 	n.door.Live = func(name string) (*wire.RolloutLive, string) {
 		if n.term == nil {
--- a/internal/procstat/procstat_test.go
+++ b/internal/procstat/procstat_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"os"
+	"runtime"
 	"testing"
 	"time"
 )
@@ -52,3 +53,19 @@
 		t.Error("a process that is not there was read")
 	}
 }
+
+// TestThreadCPU grows with work, not with waiting.
+func TestThreadCPU(t *testing.T) {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	before := ThreadCPU()
+	time.Sleep(50 * time.Millisecond)
+	waited := ThreadCPU() - before
+	sum := 0
+	for ThreadCPU()-before < waited+10*time.Millisecond && sum < 1<<32 {
+		sum++
+	}
+	if waited > 20*time.Millisecond || ThreadCPU()-before < 10*time.Millisecond {
+		t.Errorf("%v while waiting, %v after work", waited, ThreadCPU()-before)
+	}
+}
--- a/internal/scale/simulated.go
+++ b/internal/scale/simulated.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"os"
+	"runtime"
 	"strings"
 	"time"
 
@@ -22,6 +23,8 @@
 		return nil, err
 	}
 	began := time.Now()
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
 	world := worldConfig(p, o.Seed)
 	world.NodeZones = p.controllerZones()
 	world.MeterCPU = true
--- a/internal/sim/controller.go
+++ b/internal/sim/controller.go
@@ -14,6 +14,7 @@
 	"brooklb/internal/httpx"
 	"brooklb/internal/node"
 	"brooklb/internal/peer"
+	"brooklb/internal/procstat"
 	"brooklb/internal/settings"
 
 	"github.com/fxamacker/cbor/v2"
@@ -99,8 +100,8 @@
 	gap := s.w.now - s.alive
 	s.alive = s.w.now
 	if s.w.cfg.MeterCPU {
-		began := time.Now()
-		defer func() { s.busy += time.Since(began) }()
+		began := procstat.ThreadCPU()
+		defer func() { s.busy += procstat.ThreadCPU() - began }()
 	}
 	if gap >= actor.LongPause {
 		s.n.Paused(gap)
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -37,7 +37,8 @@
 	// CPUShare, MemMB and Sockets are what a controller may use, 0: unstated, 125 and 1,000.
 	CPUShare, MemMB float64
 	Sockets         int
-	// MeterCPU measures the time that each simulated controller takes.
+	// MeterCPU measures the processor time that each simulated controller takes; the caller
+	// keeps the world to one thread.
 	MeterCPU   bool
 	Teams      []settings.Team
 	Objectives []settings.Objective
