--- a/cmd/brooklb/scale.go
+++ b/cmd/brooklb/scale.go
@@ -88,7 +88,7 @@
 
 // slopesCommand measures how the costs grow with one size at a time.
 func slopesCommand() *cobra.Command {
-	var out string
+	var out, only string
 	var parallel int
 	c := &cobra.Command{
 		Use: "slopes PROFILE", Short: "measure by series of small runs how the costs grow with each size",
@@ -101,15 +101,16 @@
 			if err != nil {
 				return err
 			}
-			return measureSlopes(c, p, args[0], out, parallel)
+			return measureSlopes(c, p, args[0], out, scale.Variable(only), parallel)
 		},
 	}
 	c.Flags().StringVar(&out, "out", "", "write the results to this file")
+	c.Flags().StringVar(&only, "only", "", "measure one series anew, such as workers, and keep the others of the file")
 	c.Flags().IntVar(&parallel, "parallel", 1, "runs at a time")
 	return c
 }
 
-func measureSlopes(c *cobra.Command, p *scale.Profile, profile, out string, parallel int) error {
+func measureSlopes(c *cobra.Command, p *scale.Profile, profile, out string, only scale.Variable, parallel int) error {
 	self, err := os.Executable()
 	if err != nil {
 		return fmt.Errorf("slopes: %w", err)
@@ -121,7 +122,15 @@
 	defer os.RemoveAll(dir)
 	ctx, stop := signal.NotifyContext(c.Context(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	s, err := scale.MeasureSlopes(ctx, p, scale.SlopesOptions{Command: fmt.Sprintf("brooklb scale slopes %s --out %s --parallel %d", profile, out, parallel),
+	command := fmt.Sprintf("brooklb scale slopes %s --out %s --parallel %d", profile, out, parallel)
+	var earlier *scale.Slopes
+	if only != "" {
+		command += fmt.Sprintf(" --only %q", only)
+		if earlier, err = scale.LoadSlopes(out); err != nil {
+			return err
+		}
+	}
+	s, err := scale.MeasureSlopes(ctx, p, scale.SlopesOptions{Command: command, Only: only, Earlier: earlier,
 		Self: func(ctx context.Context, args ...string) *exec.Cmd { return exec.CommandContext(ctx, self, args...) },
 		Dir:  dir, Parallel: parallel, Progress: c.ErrOrStderr()})
 	if s != nil {
--- a/internal/scale/fit.go
+++ b/internal/scale/fit.go
@@ -24,6 +24,15 @@
 	return RoleResult{}
 }
 
+// sum adds a figure up over all controllers.
+func (r *Result) sum(of func(RoleResult) float64) (sum float64) {
+	for _, x := range r.Roles {
+		sum += float64(x.Processes) * of(x)
+	}
+	return sum
+}
+
+// figures are what grows with a cluster's size and can be added up.
 func figures() []figure {
 	leader := func(r *Result) RoleResult { return r.role(RoleLeader) }
 	other := func(r *Result) RoleResult { return r.role(RoleOther) }
@@ -38,7 +47,6 @@
 		{"leader, direct orders", "/s", func(r *Result) float64 { return leader(r).Interfaces[dev.Orders].Messages }, false},
 		{"leader, direct orders", "KB/s", func(r *Result) float64 { return both(leader(r).Interfaces[dev.Orders]) }, false},
 		{"leader, state service", "KB/s", func(r *Result) float64 { return both(leader(r).Interfaces[dev.State]) }, false},
-		{"leader, peers", "KB/s", func(r *Result) float64 { return both(leader(r).Interfaces[dev.Peers]) }, false},
 		{"leader, cloud", "calls/s", func(r *Result) float64 { return leader(r).Interfaces[dev.Cloud].Messages }, false},
 		{"leader, cloud", "KB/s", func(r *Result) float64 { return both(leader(r).Interfaces[dev.Cloud]) }, false},
 		{"other controller, processor", "cores", func(r *Result) float64 { return other(r).CPU }, false},
@@ -47,8 +55,12 @@
 		{"other controller, users", "/s", func(r *Result) float64 { return other(r).Interfaces[dev.Users].Messages }, false},
 		{"other controller, users", "KB/s", func(r *Result) float64 { return both(other(r).Interfaces[dev.Users]) }, false},
 		{"other controller, state service", "KB/s", func(r *Result) float64 { return both(other(r).Interfaces[dev.State]) }, false},
-		{"other controller, peers", "/s", func(r *Result) float64 { return other(r).Interfaces[dev.Peers].Messages }, false},
-		{"other controller, peers", "KB/s", func(r *Result) float64 { return both(other(r).Interfaces[dev.Peers]) }, false},
+		{"all controllers among themselves", "/s", func(r *Result) float64 {
+			return r.sum(func(x RoleResult) float64 { return x.Interfaces[dev.Peers].Messages })
+		}, false},
+		{"all controllers among themselves", "KB/s", func(r *Result) float64 {
+			return r.sum(func(x RoleResult) float64 { return both(x.Interfaces[dev.Peers]) })
+		}, false},
 		{"state service, requests", "/s", func(r *Result) float64 { return r.State.Requests }, false},
 		{"state service, changes", "/s", func(r *Result) float64 { return r.State.Changes }, false},
 		{"state service, keys", "", func(r *Result) float64 { return float64(r.State.Keys) }, false},
@@ -57,7 +69,6 @@
 		{"all workers' messages", "B/s", func(r *Result) float64 { return r.Worker.BytesPerS * workers(r) }, true},
 		{"all hollow workers, processor", "% of a core", func(r *Result) float64 { return r.Worker.CPUPercent * workers(r) }, true},
 		{"all hollow workers, memory", "MB", func(r *Result) float64 { return r.Worker.MemMB * workers(r) }, true},
-		{"urgent start, p99", "s", func(r *Result) float64 { return r.Urgent.P99 }, false},
 	}
 }
 
@@ -131,6 +142,22 @@
 	return max(0, sum)
 }
 
+// together is what a figure is at a size along the line of all sizes together, with the
+// slope of the number of controllers, which small fractions don't have.
+func (s *Slopes) together(of func(*Result) float64, planned *Profile, fraction float64) (float64, bool) {
+	xs, ys := s.series(VaryFraction, of)
+	if len(xs) < 2 {
+		return 0, false
+	}
+	line := fitLine(xs, ys)
+	x := line.base + line.slope*fraction
+	_, scatter := s.scatter(of)
+	if c, ok := s.significant(VaryControllers, of, scatter); ok {
+		x += c.slope * (float64(planned.Cluster.Controllers) - leastControllers)
+	}
+	return max(0, x), true
+}
+
 // significant is the line of a variable; false if the figure moves over the whole series by
 // no more than twice the scatter of equal runs and the distance of its points.
 func (s *Slopes) significant(v Variable, of func(*Result) float64, scatter float64) (fit, bool) {
--- a/internal/scale/page.go
+++ b/internal/scale/page.go
@@ -1,9 +1,11 @@
 package scale
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"os"
+	"slices"
 	"strings"
 )
 
@@ -24,6 +26,7 @@
 const (
 	sectionSlopes   = "slopes"
 	sectionEstimate = "estimate"
+	sectionTime     = "time"
 	sectionFailures = "failures"
 	sectionRuns     = "runs"
 )
@@ -38,6 +41,7 @@
 	for _, section := range []struct{ name, table string }{
 		{sectionSlopes, slopes.slopesTable()},
 		{sectionEstimate, slopes.estimateTable(planned, runs)},
+		{sectionTime, slopes.timeTable(planned)},
 		{sectionFailures, failuresTable(planned)},
 		{sectionRuns, runsTable(runs)},
 	} {
@@ -110,7 +114,7 @@
 				slopes = append(slopes, fmt.Sprintf("%s for %s %s (%s)", digits(line.slope*per), digits(per), x.variable, digits(line.residual)))
 			}
 		}
-		t.row(f.name, cmpOr(f.unit, "count"), digits(mean), "±"+digits(scatter), cmpOr(strings.Join(slopes, "; "), "none above the scatter"))
+		t.row(f.name, cmp.Or(f.unit, "count"), digits(mean), "±"+digits(scatter), cmp.Or(strings.Join(slopes, "; "), "none above the scatter"))
 	}
 	fmt.Fprintf(&t.b, "\nThe middle: %d workers, %d controllers, %d teams, %d running tasks, %s starts and %s jobs a second, gangs of %d, %s changes of configuration a day; %d runs. ",
 		s.Base.Cluster.Workers, s.Base.Cluster.Controllers, s.Base.Cluster.Teams, s.Base.Load.RunningTasks, digits(s.Base.Load.StartsPerS), digits(s.Base.sizes()[VaryJobs]), s.Base.Load.GangTasks, digits(s.Base.Load.ChangesPerDay), baseRuns)
@@ -147,8 +151,6 @@
 		return p.Budget.WorkerCPUPercent, true
 	case "all hollow workers, memory MB":
 		return p.Budget.WorkerMemMB, true
-	case "urgent start, p99 s":
-		return p.Budget.UrgentStartS, true
 	}
 	return 0, false
 }
@@ -165,33 +167,28 @@
 	return x
 }
 
-// endsAt is the fraction of the planned size at which the estimate passes a budget; 1 or
-// more: not within the planned size. Smaller than what was measured nothing is said.
+// togetherAt is a figure along all sizes together, of one worker if it is a sum of all.
+func (s *Slopes) togetherAt(f figure, planned *Profile, fraction float64) (float64, bool) {
+	x, ok := s.together(f.of, planned, fraction)
+	if f.perWorker {
+		x /= fraction * float64(planned.Cluster.Workers)
+	}
+	return x, ok
+}
+
+// endsAt is the fraction of the planned size, of which the smallest is the smallest that was
+// run, at which a figure passes a budget along all sizes together; infinite: not within
+// twice the planned size.
 func (s *Slopes) endsAt(f figure, planned *Profile, budget float64) float64 {
-	least := int(budgetSteps * s.Base.sizes()[VaryWorkers] / planned.sizes()[VaryWorkers])
-	for i := max(1, least); i <= 2*budgetSteps; i++ {
+	for i := int(fractions[0] * budgetSteps); i <= 2*budgetSteps; i++ {
 		fraction := float64(i) / budgetSteps
-		if s.figureAt(f, planned.times(fraction)) > budget {
+		if x, ok := s.togetherAt(f, planned, fraction); ok && x > budget {
 			return fraction
 		}
 	}
 	return math.Inf(1)
 }
 
-// times is a size that is so many times as large in all that is varied but the number of
-// controllers, tasks of a gang and changes of configuration.
-func (p *Profile) times(factor float64) *Profile {
-	q := *p
-	q.Cluster.Workers = int(float64(p.Cluster.Workers) * factor)
-	q.Cluster.Teams = int(float64(p.Cluster.Teams) * factor)
-	q.Load.RunningTasks = int(float64(p.Load.RunningTasks) * factor)
-	q.Load.StartsPerS *= factor
-	q.Load.UrgentPerS *= factor
-	q.Load.GangsPerMinute *= factor
-	q.Load.EndedJobs = int(float64(p.Load.EndedJobs) * factor)
-	return &q
-}
-
 // stretched is by how much the planned size is beyond what was measured, at the most.
 func (s *Slopes) stretched(of func(*Result) float64, planned *Profile) string {
 	_, scatter := s.scatter(of)
@@ -215,7 +212,7 @@
 			whole = r.Result
 		}
 	}
-	t.head("figure", "unit", "by the slopes at the planned size", "stretched", "simulated whole", "budget", "the budget ends at")
+	t.head("figure", "unit", "slopes of single sizes added up", "stretched", "all sizes together", "simulated whole", "budget", "the budget ends at")
 	for _, f := range figures() {
 		simulated := "not simulated: needs sockets"
 		if whole != nil && f.of(whole) != 0 {
@@ -234,8 +231,40 @@
 				ends = "beyond twice the size"
 			}
 		}
-		t.row(name, cmpOr(f.unit, "count"), digits(s.figureAt(f, planned)), s.stretched(f.of, planned), simulated, budget, ends)
+		along := "not measured"
+		if x, ok := s.togetherAt(f, planned, 1); ok {
+			along = digits(x)
+		}
+		t.row(name, cmp.Or(f.unit, "count"), digits(s.figureAt(f, planned)), s.stretched(f.of, planned), along, simulated, budget, ends)
+	}
+	return t.b.String()
+}
+
+// What the plan says of jobs, and a time for which their records are kept.
+const (
+	jobsPerDay   = 180000
+	daysOfTwoYrs = 731
+	perThousand  = 1000
+	keptSeconds  = 300 // for which a worker keeps a directly started attempt
+)
+
+// timeTable has what doesn't add up with sizes: what grows with time, and urgent starts.
+func (s *Slopes) timeTable(p *Profile) string {
+	var t table
+	t.head("figure", "value", "from")
+	for _, role := range []Role{RoleLeader, RoleOther} {
+		xs, ys := s.series(VaryEnded, func(r *Result) float64 { return r.role(role).MemMB })
+		perJob := fitLine(xs, ys).slope // MB
+		t.row(fmt.Sprintf("memory of a job that is over, controller (%s)", role), digits(perJob*perThousand)+" KB", "slope of ended jobs")
+		t.row("the same of a day's jobs", digits(perJob*jobsPerDay)+" MB", fmt.Sprintf("%d jobs a day", jobsPerDay))
+		t.row("a controller's memory is full after", digits(p.Controller.MemMB/(perJob*jobsPerDay))+" days", digits(p.Controller.MemMB)+" MB")
+		t.row("memory after two years", digits(perJob*jobsPerDay*daysOfTwoYrs/perThousand)+" GB", "the same")
 	}
+	t.row("pages read at the start of a process after two years", digits(jobsPerDay*daysOfTwoYrs/perThousand), "1,000 records on a page")
+	perWorker := p.Load.StartsPerS / float64(p.Cluster.Workers)
+	t.row("attempts that a worker keeps and lists in each report", digits(perWorker*keptSeconds), fmt.Sprintf("%s starts a second and worker for %d s", digits(perWorker), keptSeconds))
+	_, p99 := s.series("", func(r *Result) float64 { return r.Urgent.P99 })
+	t.row("p99 of urgent starts in the middle, before", fmt.Sprintf("%s to %s s", digits(slices.Min(p99)), digits(slices.Max(p99))), fmt.Sprintf("%d equal runs, budget %s s", len(p99), digits(p.Budget.UrgentStartS)))
 	return t.b.String()
 }
 
@@ -279,7 +308,7 @@
 	for _, r := range runs {
 		head = append(head, r.Name)
 	}
-	t.head(append(head, "budget")...)
+	t.head(append(head, "budget of the first")...)
 	if len(runs) == 0 {
 		return t.b.String()
 	}
@@ -292,7 +321,7 @@
 		for _, column := range columns {
 			cells = append(cells, valueOf(column, x.what))
 		}
-		t.row(append(cells, cmpOr(x.budget, "none set"))...)
+		t.row(append(cells, cmp.Or(x.budget, "none set"))...)
 	}
 	return t.b.String()
 }
