--- a/internal/ledger/machine.go
+++ b/internal/ledger/machine.go
@@ -110,10 +110,10 @@
 	WantedAt   time.Duration // last time waiting work was expected to use it
 	NoPlace    time.Duration // no new placements before
 	blamed     map[*Job]bool
-	Ambiguous  map[string]uint64 // starts that may yet arrive: task/attempt -> session
+	Ambiguous  map[model.TaskAttempt]uint64 // starts that may yet arrive, with their session
 	// Sent has the starts that went straight to the worker in this session and were
 	// answered: copies of them may come still.
-	Sent    map[string]time.Duration
+	Sent    map[model.TaskAttempt]time.Duration
 	Images  map[string]time.Duration
 	ImageGB map[string]float64
 	Direct  int // direct commands under way
@@ -129,7 +129,7 @@
 	m := l.Machines[name]
 	if m == nil {
 		m = &Machine{Name: name, FirstSeen: l.env.Now(), IdleSince: l.env.Now(),
-			Images: map[string]time.Duration{}, ImageGB: map[string]float64{}, Ambiguous: map[string]uint64{}, Sent: map[string]time.Duration{}, RentedAt: l.env.Now()}
+			Images: map[string]time.Duration{}, ImageGB: map[string]float64{}, Ambiguous: map[model.TaskAttempt]uint64{}, Sent: map[model.TaskAttempt]time.Duration{}, RentedAt: l.env.Now()}
 		if l.Warm != nil {
 			l.Warm(m)
 		}
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -199,3 +199,16 @@
 	State                  string // "booting", "running", "failed"
 	AgeS                   float64
 }
+
+// TaskAttempt names one attempt of a task.
+type TaskAttempt struct {
+	Job     string
+	Task    int
+	Attempt uint64
+}
+
+// Key is the attempt that a worker reports.
+func (t TaskReport) Key() TaskAttempt { return TaskAttempt{t.Job, t.Task, t.Attempt} }
+
+// Key is the attempt that an order is for.
+func (o Order) Key() TaskAttempt { return TaskAttempt{o.Job, o.Task, o.Attempt} }
--- a/internal/workers/orders.go
+++ b/internal/workers/orders.go
@@ -22,7 +22,7 @@
 		}
 		for _, t := range m.Ended {
 			if a.mayForget(m, t) {
-				delete(m.Sent, key(t))
+				delete(m.Sent, t.Key())
 				out = append(out, model.Order{Op: model.Forget, Job: t.Job, Task: t.Task, Attempt: t.Attempt})
 			}
 		}
@@ -92,10 +92,10 @@
 	if m.Token < a.token {
 		return false
 	}
-	if _, ok := m.Ambiguous[key(t)]; ok {
+	if _, ok := m.Ambiguous[t.Key()]; ok {
 		return false
 	}
-	if at, ok := m.Sent[key(t)]; ok && a.env.Now()-at < copiesFor {
+	if at, ok := m.Sent[t.Key()]; ok && a.env.Now()-at < copiesFor {
 		return false
 	}
 	j := a.led.Jobs[t.Job]
@@ -148,7 +148,7 @@
 	session := m.Session
 	for _, o := range out {
 		if o.Op == model.Start {
-			m.Ambiguous[orderKey(o)] = session
+			m.Ambiguous[o.Key()] = session
 		}
 	}
 	m.Direct++
@@ -168,9 +168,9 @@
 			if m.Session == session {
 				for _, o := range out {
 					if o.Op == model.Start {
-						delete(m.Ambiguous, orderKey(o))
+						delete(m.Ambiguous, o.Key())
 						if ans.Err == nil && ans.Status == 200 {
-							m.Sent[orderKey(o)] = a.env.Now()
+							m.Sent[o.Key()] = a.env.Now()
 						}
 					}
 				}
--- a/internal/workers/proof.go
+++ b/internal/workers/proof.go
@@ -39,7 +39,7 @@
 
 // mayArrive reports whether a start sent directly may still be executed.
 func (a *Actor) mayArrive(m *ledger.Machine, p *ledger.Placement) bool {
-	_, ok := m.Ambiguous[key(model.TaskReport{Job: p.Job.Spec.ID, Task: p.Task, Attempt: p.Attempt})]
+	_, ok := m.Ambiguous[model.TaskAttempt{Job: p.Job.Spec.ID, Task: p.Task, Attempt: p.Attempt}]
 	return ok
 }
 
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -4,7 +4,6 @@
 package workers
 
 import (
-	"strconv"
 	"time"
 
 	"brooklb/internal/actor"
@@ -77,14 +76,6 @@
 // Close ends the term: no order is given any more.
 func (a *Actor) Close() { a.stopped = true }
 
-func key(t model.TaskReport) string {
-	return t.Job + "/" + strconv.Itoa(t.Task) + "#" + strconv.FormatUint(t.Attempt, 10)
-}
-
-func orderKey(o model.Order) string {
-	return o.Job + "/" + strconv.Itoa(o.Task) + "#" + strconv.FormatUint(o.Attempt, 10)
-}
-
 // Report takes in a report and returns the orders for the answer.
 func (a *Actor) Report(r *model.Report) []model.Order { return a.ReportVia("", r) }
 
@@ -146,8 +137,8 @@
 	a.led.Describe(m, r.Type, r.Zone, r.Spot)
 	if r.Session > m.Session {
 		// Commands carry the session: what was sent to an earlier one is void.
-		m.Ambiguous = map[string]uint64{}
-		m.Sent = map[string]time.Duration{}
+		m.Ambiguous = map[model.TaskAttempt]uint64{}
+		m.Sent = map[model.TaskAttempt]time.Duration{}
 		m.SessionAt = now
 	}
 	m.Session, m.Seq, m.Token = r.Session, r.Seq, r.Token
