--- a/internal/placement/score.go
+++ b/internal/placement/score.go
@@ -41,8 +41,10 @@
 	if j.Spec.Kind != model.Service {
 		s -= (m.Pace.Factor() - 1) * j.EstimateS()
 	}
-	if m.Kept() >= ledger.DirectStarts(j.Spec.Priority) {
-		s -= v.Report.Seconds() / 2 // its start waits for the worker's next report
+	if j.Spec.Priority >= model.High && m.Kept() >= ledger.DirectStarts(j.Spec.Priority) {
+		// Its start waits for the worker's next report. Lesser work stays where machines
+		// are filled best: moved, it broke into whole machines that gangs need.
+		s -= v.Report.Seconds() / 2
 	}
 	// Fill machines that are in use before empty ones.
 	used := 0.0
