--- a/internal/placement/score.go
+++ b/internal/placement/score.go
@@ -42,8 +42,8 @@
 		s -= (m.Pace.Factor() - 1) * j.EstimateS()
 	}
 	if j.Spec.Priority >= model.High && m.Kept() >= ledger.DirectStarts(j.Spec.Priority) {
-		// Its start waits for the worker's next report. Lesser work stays where machines
-		// are filled best: moved, it broke into whole machines that gangs need.
+		// Its start waits for the worker's next report. Lesser work can wait, and goes where
+		// machines are filled best.
 		s -= v.Report.Seconds() / 2
 	}
 	// Fill machines that are in use before empty ones.
