An urgent start's wait is rated by the machine's own time between reports

A machine on which much happens reports at once, so that the wait was overrated. Change: half the time between its last two reports.

--- a/internal/placement/score.go
+++ b/internal/placement/score.go
@@ -42,9 +42,9 @@
 		s -= (m.Pace.Factor() - 1) * j.EstimateS()
 	}
 	if j.Spec.Priority >= model.High && m.Kept() >= ledger.DirectStarts(j.Spec.Priority) {
-		// Its start waits for the worker's next report. Lesser work can wait, and goes where
-		// machines are filled best.
-		s -= v.Report.Seconds() / 2
+		// Its start waits for the worker's next report, which comes sooner where much
+		// happens. Lesser work can wait, and goes where machines are filled best.
+		s -= min(m.Gap, v.Report).Seconds() / 2
 	}
 	// Fill machines that are in use before empty ones.
 	used := 0.0
