On reading the change: shares are counted for new workers only, one name of the messages' type, no unused fields

A controller that passes reports on looked at all others' shares for every report, though only a worker that is new to it is sent elsewhere; the decision is the same. No change of behaviour, no assertion changed.

--- a/internal/dev/access.go
+++ b/internal/dev/access.go
@@ -10,10 +10,8 @@
 
 // Process is a controller's process.
 type Process struct {
-	Label    string
-	Location string
-	Bind     string
-	PID      int // 0: it is not there now
+	Label string
+	PID   int // 0: it is not there now
 }
 
 // World is the stand-ins' world; only what runs on its thread may use it.
@@ -44,7 +42,7 @@
 func (c *Cluster) Processes() []Process {
 	var out []Process
 	for _, k := range c.nodes {
-		p := Process{Label: k.set.Label, Location: k.set.Location, Bind: k.set.Bind}
+		p := Process{Label: k.set.Label}
 		select {
 		case <-k.gone:
 		default:
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -167,7 +167,7 @@
 	}
 	f.flying++
 	gen := f.gen
-	f.env.Call(actor.Call{Addr: addr, Method: "POST", Path: ReportsPath, Type: contentType, Body: encode(batch), Timeout: batchTimeout, Done: func(a actor.Answer) {
+	f.env.Call(actor.Call{Addr: addr, Method: "POST", Path: ReportsPath, Type: ContentType, Body: encode(batch), Timeout: batchTimeout, Done: func(a actor.Answer) {
 		if f.gen != gen { // we was paused meanwhile
 			f.refuseAll(sent)
 			return
--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -22,7 +22,8 @@
 // Version of the messages. A node's status says which one it takes.
 const Version = 1
 
-const contentType = "application/cbor"
+// ContentType of all messages.
+const ContentType = "application/cbor"
 
 const (
 	// mostBatch is how many bytes of bodies a message holds, below the limit of a request.
--- a/internal/forward/sender.go
+++ b/internal/forward/sender.go
@@ -87,7 +87,7 @@
 }
 
 func (s *Sender) send(addr string, orders []Order) {
-	s.env.Call(actor.Call{Addr: addr, Method: "POST", Path: OrdersPath, Type: contentType, Body: encode(Orders{Version, orders}), Timeout: batchTimeout, Done: func(a actor.Answer) {
+	s.env.Call(actor.Call{Addr: addr, Method: "POST", Path: OrdersPath, Type: ContentType, Body: encode(Orders{Version, orders}), Timeout: batchTimeout, Done: func(a actor.Answer) {
 		if s.closed || a.Err == nil && a.Status == 200 || a.Err != nil && !a.Unsent() {
 			return // the results tell, or their time runs out
 		}
@@ -123,6 +123,3 @@
 func EncodeAnswers(leading bool, answers []Answer) []byte {
 	return encode(Answers{Version, leading, answers})
 }
-
-// ContentType of all messages.
-const ContentType = contentType
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -72,9 +72,9 @@
 	if len(report) > forward.MostReport {
 		return n.leaderLabel(), redirect
 	}
-	all := n.reportersOf()
-	if own := n.reporters.Count(n.env.Now()); forward.Full(own, all) && !n.reporters.Has(host) {
-		if to := forward.Choose(all, zone); to != "" && to != n.set.Label {
+	if own := n.reporters.Count(n.env.Now()); !n.reporters.Has(host) {
+		all := n.reportersOf()
+		if to := forward.Choose(all, zone); forward.Full(own, all) && to != "" && to != n.set.Label {
 			return to, redirect
 		}
 	}
