--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"os"
 	"time"
 )
 
@@ -8,6 +9,7 @@
 var cases = map[string]func(folder string){
 	"first-rollout": firstRollout,
 	"many-tasks":    manyTasks,
+	"many-types":    manyTypes,
 }
 
 // firstRollout rolls out a service. With the trouble the roll-out begins the service; without, it
@@ -93,3 +95,25 @@
 	}
 	w.finish()
 }
+
+// manyTypes submits a job where the cloud offers 32 machine types, without the trouble three.
+func manyTypes(folder string) {
+	f := lisboa
+	f.others = 2
+	if os.Getenv("TROUBLE") != "0" {
+		f.others = 31
+	}
+	w := newWorld(folder, f, 2, 2)
+	time.Sleep(5 * time.Second)
+	j := &job{ref: "j-000030", crew: "provisioning", lane: "imsi-score", shape: "sweep", urgency: "standard", shards: 4, cpus: 10, gpus: 1, memoryGB: 54, bundle: "img-01", sizeGB: 0.2, runs: 5 * time.Second}
+	accepted := w.submit(j, 60*time.Second)
+	at := time.Now()
+	for time.Since(at) < 30*time.Second && w.doneTasks(j.ref) < j.shards {
+		time.Sleep(time.Second)
+	}
+	w.rec.add("harness", "accepted: %v, begun: %v, tasks done: %d of %d", accepted, w.begun(j.ref), w.doneTasks(j.ref), j.shards)
+	if !w.begun(j.ref) {
+		w.violate("nothing_ran: no task was started; the job was accepted within 60 s: %v", accepted)
+	}
+	w.finish()
+}
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -59,6 +59,18 @@
 	cloudRPS, lagS           float64
 	limits                   string
 	hull                     machineType
+	others                   int // further machine types that the cloud offers
+}
+
+// types lists the machine types of the cloud, by name.
+func (f facts) types() []*machineType {
+	out := []*machineType{&f.hull}
+	for i := range f.others {
+		t := f.hull
+		t.SKU, t.CPUs, t.MemoryGB, t.GPUs = fmt.Sprintf("%s-%02d", f.hull.SKU, i+2), float64(4+2*i), float64(16+8*i), float64(i%5)
+		out = append(out, &t)
+	}
+	return out
 }
 
 const team = "[[facts.teams]]\nname = %q\ncpus = 0.0\ncpus_max = 0.0\ngpus = %.1f\ngpus_max = %.1f\n\n"
@@ -263,7 +275,7 @@
 	w.rec.add("harness", "trouble: %v", w.trouble)
 	w.state = newStateService(w.facts.state)
 	w.cloud = &cloud{w: w, capacity: capacity, lag: time.Duration(f.lagS * float64(time.Second)), requests: bucket{f.cloudRPS, 2 * f.cloudRPS, time.Now()},
-		charters: map[string][]string{}, types: []*machineType{&w.facts.hull}}
+		charters: map[string][]string{}, types: f.types()}
 	for i, zone := range f.zones {
 		w.controllers = append(w.controllers, &controller{w: w, label: fmt.Sprintf("berth-%d", i), zone: zone, bind: w.freePort("127.0.0.1"), cluster: w.freePort("127.0.0.1"),
 			state: w.listen(w.state), cloud: w.listen(w.cloud)})
