The first roll-out of a service without a running job no longer ends the leader

Callers saw: a roll-out request without `from` for a new service was answered 201; then each controller that led ended within half a second, also after its restart, and accepted jobs of other teams never began.

Cause: the record of such a service has no current version until the roll-out is done. Actor.advance removed the instances to stop from the current version in every step, also when there is none. The record is durable, so each leader read it again.

Change: a step writes the current version only if there is one. A record that is being rolled back without an earlier version, which no request produces, would have ended the leader in continueRollback; Decode refuses it.

--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -134,7 +134,7 @@
 // Record is the stored state of a service.
 type Record struct {
 	V       int            `json:"v"`
-	Current *version       `json:"cur,omitempty"` // the last good version
+	Current *version       `json:"cur,omitempty"` // the last good version, nil until the first roll-out is done if that began the service
 	New     *version       `json:"new,omitempty"` // the version that is being rolled out, nil if none is
 	Ended   bool           `json:"end,omitempty"` // withdrawn
 	Number  int            `json:"n"`             // of the newest roll-out
@@ -200,6 +200,9 @@
 	if (r.Rollout != nil) != (r.New != nil) || r.Rollout != nil && r.Rollout.Plan == nil {
 		return nil, fmt.Errorf("record of service %s: a roll-out without a plan or a new version", name)
 	}
+	if r.Rollout != nil && r.Rollout.State == RollingBack && r.Current == nil {
+		return nil, fmt.Errorf("record of service %s: a roll-out is rolled back without an earlier version", name)
+	}
 	return &r, nil
 }
 
--- a/internal/rollout/steps.go
+++ b/internal/rollout/steps.go
@@ -168,7 +168,9 @@
 		if len(start)+len(stop) > 0 {
 			c := rec.copy()
 			c.New.Wanted.add(start)
-			c.Current.Wanted.remove(stop)
+			if c.Current != nil { // a roll-out that begins a service replaces nothing
+				c.Current.Wanted.remove(stop)
+			}
 			c.Rollout.Why = clip(s.waitReason)
 			a.write(s, c, nil, nil)
 			return
--- a/internal/sim/rollout_test.go
+++ b/internal/sim/rollout_test.go
@@ -441,3 +441,63 @@
 		}
 	}
 }
+
+// TestFirstRolloutLeavesPartsOut guards against a leader that ends with a nil pointer, and so does
+// each one after it, because a roll-out's request leaves out a part of the service's record: the
+// running job that it adopts, the health check or the steps.
+func TestFirstRolloutLeavesPartsOut(t *testing.T) {
+	for _, c := range []struct {
+		name, image, from string
+		plan, health      map[string]any
+		state, why        string
+	}{
+		{"only the job", "web:good", "", nil, nil, "done", ""},
+		{"no running job", "web:good", "", map[string]any{"steps": []any{1, "50%"}, "bake_s": 5.0}, healthCheck, "done", ""},
+		{"no running job, by zone", "web:good", "", map[string]any{"by_zone": true}, healthCheck, "done", ""},
+		{"no steps and no health check", "web:good", "j-1", nil, nil, "done", ""},
+		{"by zone, no health check", "web:good", "j-1", map[string]any{"by_zone": true}, nil, "done", ""},
+		{"no running job, sick", "web:bad", "", nil, healthCheck, "still stuck", "no earlier version"},
+		{"no running job, ends", "web:exit=3", "", nil, nil, "still stuck", "no earlier version"},
+		{"no running job, port in use", "web:good", "", nil, map[string]any{"port": 8999, "per_task": true, "path": "/"}, "rolled back", "port 9000"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := serviceWorld(t, Config{Seed: 97}, 4)
+			w.mustRollout(t, Version{Service: "shop", Job: versionJob("j-2", c.image, 4), From: c.from, Surge: 1, Plan: c.plan, Health: c.health})
+			w.after(15*time.Second, func() { w.Crash(max(0, w.Leader()), 2*time.Second) }) // the next leader reads the same record
+			if state, why := w.awaitRollout("shop", 1, 5*time.Minute); state != c.state || !strings.Contains(why, c.why) {
+				t.Errorf("%q because %q, want %q because %q", state, why, c.state, c.why)
+			}
+			if n := w.HealthyInstances("j-2"); c.state == "done" && n != 4 {
+				t.Errorf("%d of 4 new instances serve", n)
+			}
+			w.withdrawAndReplace(t, 4)
+			w.checkNoBrokenRules(t)
+		})
+	}
+}
+
+// withdrawAndReplace withdraws the service shop, whatever has become of its first roll-out, and
+// rolls out another version without naming a running job.
+func (w *World) withdrawAndReplace(t *testing.T, tasks int) {
+	t.Helper()
+	for _, verb := range []string{"pause", "resume", "abort"} { // answered by all nodes, whatever the record lacks
+		w.AskService("shop", verb, func(int, []byte) {})
+	}
+	w.Run(w.now + 5*time.Second)
+	w.AskService("shop", "withdraw", func(status int, body []byte) {
+		if status != 200 {
+			t.Errorf("the withdrawal got %d %s", status, body)
+		}
+	})
+	w.Run(w.now + 30*time.Second)
+	if n := len(w.services["shop"].instances(w)); n != 0 {
+		t.Errorf("%d instances are left of a service that was withdrawn", n)
+	}
+	number := w.ServiceRecord("shop").N + 1
+	w.services["shop"].withdrawn = false
+	w.mustRollout(t, Version{Service: "shop", Job: versionJob("j-3", "web:good", tasks), Surge: 1})
+	w.Run(w.now + 3*time.Second)
+	if state, why := w.awaitRollout("shop", number, 5*time.Minute); state != "done" || w.HealthyInstances("j-3") != tasks {
+		t.Errorf("after the withdrawal: %q because %q, %d of %d instances serve", state, why, w.HealthyInstances("j-3"), tasks)
+	}
+}
