Machine types that don't fit one value are stored in parts

Callers saw: where the cloud offers 32 machine types and values may have 4 KiB, every submission got 503 "the machine types aren't known yet" for ever and no task was started. Where the list grew in a running cluster, jobs for a new type got 422.

Cause: fleet.publishTypes wrote all types into the value of b/types, from which every controller learns what can run. The state service refused it as malformed, and the leader sent it again every two seconds.

Change: a larger list is written in parts, each within the limit, with a checksum that all parts of one list share; the first part is written last. A list that fits is stored as before. b/types keeps its form and its last value: an older program goes on with that, and when an older leader writes it, it is newer than the parts and counts. Controllers also read the list again after they have missed changes. What is refused as malformed waits for the next regular request. The code for machine types moves to fleet/types.go.

TestMachineTypesBesideOlderProgram and TestParts guard the new form.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -55,19 +55,26 @@
 	for _, z := range zones {
 		a.zones[z] = true
 	}
-	store.Subscribe(func(key string, it *statestore.Item) {
-		if key == fleet.TypesKey && it != nil {
-			ts, err := fleet.DecodeTypes(it.Value)
-			if err != nil {
-				env.Log().Error("machine types can't be read, left unchanged", "key", key, "err", err)
-				return
-			}
-			a.types = ts
+	store.Subscribe(func(key string, _ *statestore.Item) {
+		if fleet.IsTypesKey(key) {
+			a.loadTypes()
 		}
 	})
+	store.OnResync(a.loadTypes)
 	return a
 }
 
+// loadTypes takes the machine types from the replica, if it has them.
+func (a *Actor) loadTypes() {
+	types, err := fleet.StoredTypes(a.store)
+	switch {
+	case err != nil:
+		a.env.Log().Error("machine types can't be read, left unchanged", "key", fleet.TypesKey, "err", err)
+	case len(types) > 0:
+		a.types = types
+	}
+}
+
 // Serve answers a user's request; it returns false for paths that other packages serve. A
 // request whose answer would be answer.Unavailable is relayed once to another node, unless
 // another node has relayed it to this one.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -4,23 +4,14 @@
 package fleet
 
 import (
-	"strings"
 	"time"
 
 	"brooklb/internal/actor"
-	"brooklb/internal/leader"
 	"brooklb/internal/ledger"
 	"brooklb/internal/model"
 	"brooklb/internal/statestore"
-	"brooklb/internal/wire"
-
-	"github.com/segmentio/encoding/json"
 )
 
-// TypesKey is the key of the machine types in the state service, for the nodes that don't
-// ask the cloud.
-const TypesKey = statestore.Prefix + "types"
-
 // Config holds the settings of an Actor.
 type Config struct {
 	RentalID       uint64 // part of the IDs of all rental requests of a term; no other term ever has the same
@@ -57,6 +48,7 @@
 	listing      bool
 	listedAt     time.Duration
 	typesAt      time.Duration
+	publishing   bool // of the machine types
 	checkedAt    time.Duration
 	tickedAt     time.Duration
 	resumedAt    time.Duration // when planning resumed after a time without proof of leading
@@ -91,10 +83,8 @@
 	a := &Actor{env: env, led: led, store: store, token: token, cfg: cfg, began: env.Now(), refusedUntil: map[pool]time.Duration{},
 		renting: map[pool]int{}, toReturn: map[string]time.Duration{}, listedAt: -time.Hour, typesAt: -time.Hour, countedJobs: map[string]bool{}, boots: newBootEstimator()}
 	a.bucket.SetRate(cfg.RPS*0.8, max(1, cfg.RPS*1.2))
-	if it, ok := store.Peek(TypesKey); ok {
-		if ts, err := DecodeTypes(it.Value); err == nil {
-			a.setTypes(ts)
-		}
+	if types, err := StoredTypes(store); err == nil {
+		a.setTypes(types)
 	}
 	return a
 }
@@ -102,33 +92,6 @@
 // Close ends the term.
 func (a *Actor) Close() { a.stopped = true }
 
-func (a *Actor) setTypes(ts []model.MachineType) {
-	for i := range ts {
-		a.led.Types[ts[i].Name] = &ts[i]
-	}
-	for _, m := range a.led.MachinesByName() {
-		if m.Type != "" && !m.TypeKnown {
-			a.led.Describe(m, m.Type, m.Zone, m.Spot)
-		}
-	}
-}
-
-// EncodeTypes encodes the value of TypesKey.
-func EncodeTypes(ts []model.MachineType) []byte {
-	b, err := json.Marshal(ts)
-	if err != nil {
-		panic("fleet: " + err.Error())
-	}
-	return b
-}
-
-// DecodeTypes decodes the value of TypesKey.
-func DecodeTypes(b []byte) ([]model.MachineType, error) {
-	var ts []model.MachineType
-	err := json.Unmarshal(b, &ts)
-	return ts, err
-}
-
 func (a *Actor) call(method, path string, body []byte, done func(actor.Answer)) bool {
 	if !a.bucket.Take(a.env.Now(), 1, 0) {
 		return false
@@ -156,7 +119,7 @@
 		}
 	}
 	a.tickedAt = now
-	if len(a.led.Types) == 0 || now-a.typesAt > 30*time.Second {
+	if len(a.led.Types) == 0 || now-a.typesAt > typesInterval {
 		a.askTypes()
 	}
 	a.boots.update(a.led, now)
@@ -169,54 +132,3 @@
 		a.checkMachines()
 	}
 }
-
-func (a *Actor) askTypes() {
-	now := a.env.Now()
-	last := a.typesAt
-	a.typesAt = now
-	if !a.call("GET", wire.PathMachineTypes, nil, func(ans actor.Answer) {
-		if ans.Err != nil || ans.Status != 200 {
-			a.typesAt = a.env.Now() - 28*time.Second
-			return
-		}
-		ts, err := wire.DecodeMachineTypes(ans.Body)
-		if err != nil {
-			a.env.Log().Error("invalid response from the cloud", "err", err)
-			return
-		}
-		a.setTypes(ts)
-		a.publishTypes(ts)
-	}) {
-		a.typesAt = last
-	}
-}
-
-// publishTypes writes the types for the other nodes if more than prices and boot times has
-// changed. Those matter only to the leader, and prices change often.
-func (a *Actor) publishTypes(ts []model.MachineType) {
-	types := append([]model.MachineType(nil), ts...)
-	revision := uint64(0)
-	if it, ok := a.store.Peek(TypesKey); ok {
-		revision = it.Revision
-		old, err := DecodeTypes(it.Value)
-		if err == nil && len(old) == len(types) {
-			same := true
-			for i := range old {
-				o, n := old[i], types[i]
-				if o.Name != n.Name || o.Cap != n.Cap || o.CacheGB != n.CacheGB || o.FetchGBs != n.FetchGBs || strings.Join(o.Zones, " ") != strings.Join(n.Zones, " ") {
-					same = false
-				}
-			}
-			if same {
-				return
-			}
-		}
-	}
-	t := wire.Txn{When: []wire.Cond{{Path: leader.Key, Revision: a.token}, {Path: TypesKey, Revision: revision}},
-		Apply: []wire.Change{{Write: TypesKey, Value: EncodeTypes(types)}}}
-	a.store.Commit(t, true, func(r statestore.Result, _ uint64, _ []string) {
-		if r != statestore.OK {
-			a.typesAt = a.env.Now() - 28*time.Second
-		}
-	})
-}
--- a/internal/sim/cloud.go
+++ b/internal/sim/cloud.go
@@ -35,6 +35,9 @@
 	Shuffle, EndlessPages bool
 	// ListRequests counts the requests for a page of the list.
 	ListRequests int
+	// OtherTypes is the number of machine types that the cloud offers besides "big". They are
+	// smaller (otherType), and it has no machines of them.
+	OtherTypes int
 	// Cost is the total run time of machines in seconds.
 	Cost float64
 }
@@ -136,6 +139,31 @@
 	return m
 }
 
+// otherType is the name of a machine type without machines. Each has half the CPUs of "big".
+func otherType(i int) string { return fmt.Sprintf("small-%03d", i) }
+
+func (c *Cloud) offers(typ string) bool {
+	for i := range c.OtherTypes {
+		if typ == otherType(i) {
+			return true
+		}
+	}
+	return typ == "big"
+}
+
+// machineTypes is the list of machine types in the protocol's form.
+func (c *Cloud) machineTypes() []map[string]any {
+	describe := func(name string, cpus, hourly float64) map[string]any {
+		return map[string]any{"sku": name, "cpus": cpus, "gpus": c.w.cfg.GPUs, "memory_gb": 512.0, "local_gb": 40.0, "fetch_gb_per_s": 0.5,
+			"hourly": hourly, "low_price": 3.0, "ready_s": c.w.cfg.BootS, "yards": c.w.cfg.Zones}
+	}
+	types := []map[string]any{describe("big", c.w.cfg.CPUs, 10)}
+	for i := range c.OtherTypes {
+		types = append(types, describe(otherType(i), c.w.cfg.CPUs/2, 20))
+	}
+	return types
+}
+
 // freeCapacity is the number of further machines that can be rented in a zone.
 func (c *Cloud) freeCapacity(zone string, spot bool) int {
 	n := c.w.cfg.Capacity
@@ -173,8 +201,7 @@
 	p, query, _ := strings.Cut(path, "?")
 	switch {
 	case p == "/machine_types":
-		reply(200, mustJSON(map[string]any{"hulls": []map[string]any{{"sku": "big", "cpus": w.cfg.CPUs, "gpus": w.cfg.GPUs, "memory_gb": 512.0,
-			"local_gb": 40.0, "fetch_gb_per_s": 0.5, "hourly": 10.0, "low_price": 3.0, "ready_s": w.cfg.BootS, "yards": w.cfg.Zones}}}))
+		reply(200, mustJSON(map[string]any{"hulls": c.machineTypes()}))
 	case p == "/hosts" && method == "POST":
 		var r struct {
 			RequestID string `json:"charter"`
@@ -183,11 +210,15 @@
 			Spot      bool   `json:"loaners"`
 			Count     int
 		}
-		if json.Unmarshal(body, &r) != nil || r.RequestID == "" || r.Type != "big" || r.Count < 1 || r.Count > 50 {
+		if json.Unmarshal(body, &r) != nil || r.RequestID == "" || !c.offers(r.Type) || r.Count < 1 || r.Count > 50 {
 			w.reportViolation("limits", "invalid rental %s", body)
 			reply(400, []byte(`{}`))
 			return
 		}
+		if r.Type != "big" {
+			reply(503, []byte(`{"error":"no capacity"}`))
+			return
+		}
 		if a, ok := c.rentals[r.RequestID]; ok {
 			reply(200, a)
 			return
--- a/internal/sim/service.go
+++ b/internal/sim/service.go
@@ -165,7 +165,7 @@
 	}
 	j.units = d.Units
 	return j, map[string]any{"units": unitRequests, "ref": d.ID, "lane": class, "crew": d.Team, "shape": d.Kind, "urgency": d.Urgency, "shards": d.Tasks,
-		"cpus": d.CPUs, "gpus": d.GPUs, "memory_gb": 1.0, "bundle": d.Image, "size_gb": d.ImageGB, "hulls": nil, "yard": zone,
+		"cpus": d.CPUs, "gpus": d.GPUs, "memory_gb": 1.0, "bundle": d.Image, "size_gb": d.ImageGB, "hulls": d.Types, "yard": zone,
 		"same_place": d.OneZone, "apart": d.Spread, "loaners": d.Spot, "expect_s": expect, "snapshot_s": d.CheckpointS, "stow_s": d.SaveS, "due_s": due}
 }
 
--- a/internal/sim/state.go
+++ b/internal/sim/state.go
@@ -298,7 +298,9 @@
 				return
 			}
 			if len(a.Value) > 1024*s.w.cfg.ValueKB {
-				s.w.reportViolation("limits", "a value of %d bytes", len(a.Value))
+				s.w.reportViolation("limits", "a value of %d bytes for %s", len(a.Value), a.Write)
+				reply(400, []byte(`{"error":"malformed"}`))
+				return
 			}
 		}
 		failed := []string{}
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -80,7 +80,8 @@
 // standard and idle.
 type Job struct {
 	ID, Kind, Team, Image, Zone   string
-	Urgency, Class                string // Class "": derived from Kind
+	Urgency, Class                string   // Class "": derived from Kind
+	Types                         []string // allowed machine types, nil: any
 	Tasks                         int
 	CPUs, GPUs, ImageGB           float64
 	OneZone, Spread, Spot, Faulty bool
--- a/internal/statestore/commit.go
+++ b/internal/statestore/commit.go
@@ -75,7 +75,9 @@
 		case a.Status == 400 && strings.Contains(string(a.Body), "lease"):
 			done(NoLease, 0, nil)
 		case a.Status == 400:
-			s.env.Log().Error("state service rejected a transaction as malformed", "body", string(a.Body))
+			key, size := largestWrite(t)
+			s.env.Log().Error("state service rejected a transaction as malformed", "body", string(a.Body), "changes", len(t.Apply),
+				"largest_key", key, "largest_bytes", size, "limit_bytes", s.cfg.ValueBytes)
 			done(Malformed, 0, nil)
 		default:
 			s.env.Log().Error("invalid response to a transaction", "status", a.Status, "err", err)
@@ -84,6 +86,16 @@
 	})
 }
 
+// largestWrite returns the key and the size of a transaction's largest value.
+func largestWrite(t wire.Txn) (key string, size int) {
+	for _, c := range t.Apply {
+		if len(c.Value) > size {
+			key, size = c.Write, len(c.Value)
+		}
+	}
+	return key, size
+}
+
 // Grant requests a lease. leaseID is its ID.
 func (s *Store) Grant(ttl time.Duration, done func(leaseID uint64, ok bool)) {
 	if !s.requests.Take(s.env.Now(), 1, 0) {
