No more machines are requested of types that the cloud no longer offers

Cause: the leader kept each machine type that it had ever been told, with its zones, and went on asking for machines of a type that had left the cloud's list, for jobs that name it. Each request is refused and counts against the cloud's request rate.

Change: a type that is no longer listed stays known, since machines of it may run, but is in no zone.

--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -63,8 +63,14 @@
 	return types, nil
 }
 
-// setTypes makes the machine types known to the ledger.
+// setTypes makes the machine types known to the ledger. Machines of a type that is no longer
+// offered stay in use, but no more are rented: the type is in no zone.
 func (a *Actor) setTypes(types []model.MachineType) {
+	for name, known := range a.led.Types {
+		withdrawn := *known
+		withdrawn.Zones = nil
+		a.led.Types[name] = &withdrawn
+	}
 	for i := range types {
 		a.led.Types[types[i].Name] = &types[i]
 	}
