A job that is accepted can be cancelled, however long its description is

Callers saw: a job whose record took the last 44 bytes of a value was accepted with 201, and every request to cancel it got 503 at every node.

Cause: the record of a cancelled job also has its end and the reason. Only the job's own record was compared with the limit for values, so the state service refused the longer one. Versions of services are ended with a reason of up to 200 bytes and had the same in a wider band.

Change: a description is accepted only if its record fits in its longest form, and the 400 says which size was exceeded. Records that an older program has accepted without room are shortened when they are cancelled: by the allowed machine types, the image, the nonce and at last the reason. All of these were optional, so older programs read them.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -239,8 +239,8 @@
 	nonce := fmt.Sprintf("%x", a.env.Rand().Uint64())
 	rec := ledger.NewRecord(s, a.env.Wall().UnixMilli(), nonce, ledger.TasksPerChunk(a.store.Config().ValueBytes))
 	t := wire.Txn{When: []wire.Cond{{Path: key}}, Apply: []wire.Change{{Write: key, Value: rec.Encode()}}}
-	if len(t.Apply[0].Value) > a.store.Config().ValueBytes {
-		a.refuseUnlessRecorded(s.ID, answer.Refuse(400, 0, "the description is too long"), reply)
+	if size, limit := rec.LargestBytes(), a.store.Config().ValueBytes; size > limit {
+		a.refuseUnlessRecorded(s.ID, answer.TooLong(size, limit), reply)
 		return
 	}
 	if a.Queue == nil {
@@ -419,7 +419,7 @@
 			reply(httpx.Response{Status: 200, Body: wire.Encode(wire.JobState{Ref: id, Phase: phase})})
 			return
 		}
-		rec.Final, rec.Why = ledger.Cancelled, "cancelled by its user"
+		rec.Cancel(ledger.ReasonUser, a.store.Config().ValueBytes)
 		t := wire.Txn{When: []wire.Cond{{Path: key, Revision: it.Revision}}, Apply: []wire.Change{{Write: key, Value: rec.Encode()}}}
 		a.store.Commit(t, false, func(r statestore.Result, _ uint64, _ []string) {
 			switch {
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -7,6 +7,7 @@
 
 	"brooklb/internal/model"
 	"brooklb/internal/statestore"
+	"brooklb/internal/wire"
 
 	"github.com/segmentio/encoding/json"
 )
@@ -114,6 +115,42 @@
 		Est: s.EstimateS, Ckpt: s.CheckpointS, Save: s.SaveS, Due: s.DeadlineS, Units: units}}
 }
 
+// MaxReasonBytes is the largest size of the reason in the record of a cancelled job.
+const MaxReasonBytes = 200
+
+// ReasonUser is the reason in the record of a job that its user cancelled.
+const ReasonUser = "cancelled by its user"
+
+// Cancel makes the record that of a cancelled job. If it doesn't fit a value of limit bytes, parts
+// are left out that nothing reads of a cancelled job, and the reason as the last one. What counts
+// against limits until the tasks are gone stays.
+func (r *JobRecord) Cancel(why string, limit int) {
+	r.Final, r.Why = Cancelled, why
+	for _, leaveOut := range []func(){
+		func() { r.Spec.Any, r.Spec.Types = true, nil },
+		func() { r.Spec.Image = "" },
+		func() { r.Nonce = "" },
+		func() { r.Why = "" },
+	} {
+		if limit <= 0 || len(r.Encode()) <= limit {
+			return
+		}
+		leaveOut()
+	}
+}
+
+// LargestBytes returns the size to which the record may grow: its job may be cancelled, and a
+// service's may before become a version of a service that a roll-out ends with a reason of its own.
+func (r *JobRecord) LargestBytes() int {
+	largest := *r
+	largest.Final, largest.Why = Cancelled, ReasonUser
+	if model.Kind(r.Spec.Kind) == model.Service {
+		largest.SetService(strings.Repeat("x", wire.MaxServiceName))
+		largest.Why = strings.Repeat("x", MaxReasonBytes)
+	}
+	return len(largest.Encode())
+}
+
 // SetService makes the job a version of a service.
 func (r *JobRecord) SetService(name string) { r.V, r.Service = max(r.V, ServiceFormat), name }
 
--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"fmt"
 
+	"brooklb/internal/ledger"
 	"brooklb/internal/statestore"
 	"brooklb/internal/wire"
 
@@ -30,7 +31,7 @@
 	MaxServices = 1000
 	// maxHistory is how many ended roll-outs of a service are kept.
 	maxHistory   = 20
-	maxTextBytes = 200 // bytes of a reason or a piece of evidence
+	maxTextBytes = ledger.MaxReasonBytes // of a reason or a piece of evidence
 	maxEvidence  = 6
 )
 
--- a/internal/rollout/start.go
+++ b/internal/rollout/start.go
@@ -186,10 +186,15 @@
 	job.SetService(name)
 	// The job's record comes first, so that the leader sees it before the service's.
 	t.Apply = append(t.Apply, wire.Change{Write: ledger.JobKey(s.ID), Value: job.Encode()}, wire.Change{Write: Key(name), Value: c.encode()})
+	limit := h.store.Config().ValueBytes
+	if size := job.LargestBytes(); size > limit {
+		reply(answer.TooLong(size, limit))
+		return
+	}
 	for _, x := range t.Apply {
 		// The service's record needs room for evidence, zones and the sets of instances,
 		// which are added later.
-		if len(x.Value)+maxTextBytes*(maxEvidence+2) > h.store.Config().ValueBytes && x.Write == Key(name) || len(x.Value) > h.store.Config().ValueBytes {
+		if len(x.Value)+maxTextBytes*(maxEvidence+2) > limit && x.Write == Key(name) || len(x.Value) > limit {
 			reply(answer.Refuse(400, 0, "the description is too long"))
 			return
 		}
--- a/internal/rollout/write.go
+++ b/internal/rollout/write.go
@@ -147,7 +147,7 @@
 		if rec.Final != ledger.Open {
 			continue
 		}
-		rec.Final, rec.Why = ledger.Cancelled, clip(why)
+		rec.Cancel(clip(why), store.Config().ValueBytes)
 		when = append(when, wire.Cond{Path: key, Revision: it.Revision})
 		apply = append(apply, wire.Change{Write: key, Value: rec.Encode()})
 	}
--- /dev/null
+++ b/internal/sim/record_size_test.go
@@ -0,0 +1,119 @@
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"brooklb/internal/ledger"
+	"brooklb/internal/wire"
+)
+
+// longTypes returns a list of machine types that takes n more bytes than the list of "big" alone.
+func longTypes(n int) []string {
+	const quotesAndComma, longest = 3, 200
+	types := []string{"big"}
+	for n > 0 {
+		k := min(n, longest)
+		if rest := n - k; rest > 0 && rest <= quotesAndComma {
+			k -= quotesAndComma + 1
+		}
+		types = append(types, strings.Repeat("x", max(1, k-quotesAndComma)))
+		n -= k
+	}
+	return types
+}
+
+// TestCancelLongDescription guards against a job that is accepted and that nobody can ever cancel,
+// because the record of a cancelled job is larger than that of the job and no longer fits a value.
+func TestCancelLongDescription(t *testing.T) {
+	for _, kind := range []string{"sweep", "standing"} {
+		w := worldOf(Config{Seed: 71, Nodes: 3})
+		w.checkCancelled()
+		w.Run(20 * time.Second)
+		accepted, refused := 0, 0
+		for bytes := 3400; bytes <= 4000; bytes += 9 {
+			id := fmt.Sprintf("j-%d", bytes)
+			j, description := w.describe(Job{ID: id, Kind: kind, Team: "free", Image: "i", ImageGB: 0.1, Types: longTypes(bytes), Tasks: 2, CPUs: 1, RunS: 500})
+			status := 0
+			w.nodes[bytes%3].serve("users", "POST", "/v2/runs", mustJSON(description), func(s int, _ []byte) { status = s })
+			w.Run(w.now + time.Second)
+			switch status {
+			case 201:
+				accepted++
+				j.accepted = true
+				w.after(5*time.Second, func() { w.cancel(j) })
+			case 400:
+				refused++
+			default:
+				t.Errorf("%s with %d bytes of machine types got %d", kind, bytes, status)
+			}
+		}
+		w.Run(w.now + 60*time.Second)
+		w.checkAllCancelled(t)
+		if accepted == 0 || refused == 0 {
+			t.Errorf("%d jobs accepted, %d refused: the limit is not within the series", accepted, refused)
+		}
+		w.checkNoBrokenRules(t)
+	}
+}
+
+// TestCancelRecordWithoutRoom guards against the same for records that an older program has
+// accepted without leaving room for the cancellation, and against a cancelled job whose tasks no
+// longer count against their team's limit because its record was shortened.
+func TestCancelRecordWithoutRoom(t *testing.T) {
+	w := worldOf(Config{Seed: 72, Nodes: 3})
+	w.checkCancelled()
+	w.Run(20 * time.Second)
+	limit := 1024 * w.cfg.ValueKB
+	for i, withTypes := range []bool{true, false} {
+		id := fmt.Sprintf("j-%d", i+1)
+		j, description := w.describe(Job{ID: id, Kind: "sweep", Team: "red", Image: "i", ImageGB: 0.1, Tasks: 4, CPUs: 8, RunS: 500})
+		if withTypes {
+			description["hulls"] = longTypes(3000)
+		}
+		spec, err := wire.DecodeJob(mustJSON(description))
+		if err != nil {
+			t.Fatal(err)
+		}
+		rec := ledger.NewRecord(spec, 0, "0123456789abcdef", 48)
+		if withTypes {
+			last := len(spec.Types) - 1
+			spec.Types[last] += strings.Repeat("x", limit-len(rec.Encode()))
+		} else {
+			spec.Image += strings.Repeat("x", limit-len(rec.Encode()))
+		}
+		rec = ledger.NewRecord(spec, 0, "0123456789abcdef", 48)
+		j.image, j.accepted = spec.Image, true
+		w.State.serve("users", "POST", "/commit", mustJSON(map[string]any{"when": []any{}, "apply": []any{map[string]any{"write": ledger.JobKey(id), "value": json.RawMessage(rec.Encode())}}}),
+			func(status int, b []byte) {
+				if status != 200 || len(rec.Encode()) != limit {
+					t.Fatalf("a record of %d bytes: %d %s", len(rec.Encode()), status, b)
+				}
+			})
+	}
+	w.Run(w.now + 30*time.Second)
+	if w.Started != 8 {
+		t.Fatalf("%d of 8 tasks were started", w.Started)
+	}
+	for _, j := range w.jobs {
+		w.cancel(j)
+	}
+	w.after(300*time.Millisecond, func() { w.Crash(max(0, w.Leader()), 2*time.Second) }) // the next leader reads the shortened records
+	w.Submit(Job{ID: "j-9", Kind: "sweep", Team: "red", Image: "i", ImageGB: 0.1, Tasks: 20, CPUs: 8, RunS: 5})
+	w.Run(w.now + 2*time.Minute)
+	w.checkAllCancelled(t)
+	w.checkNoBrokenRules(t)
+}
+
+// checkAllCancelled fails the test for each job whose user has asked to cancel it in vain.
+func (w *World) checkAllCancelled(t *testing.T) {
+	t.Helper()
+	for id, j := range w.jobs {
+		if j.cancelAsked && j.cancelledAt == 0 {
+			t.Errorf("%s: no cancellation was confirmed", id)
+		}
+	}
+}
--- a/internal/wire/rollout.go
+++ b/internal/wire/rollout.go
@@ -114,9 +114,12 @@
 	Health *Health `json:"health,omitempty"`
 }
 
+// MaxServiceName is the largest size of a service's name in bytes.
+const MaxServiceName = 40
+
 // ValidService reports whether name is a valid name of a service.
 func ValidService(name string) bool {
-	if name == "" || len(name) > 40 {
+	if name == "" || len(name) > MaxServiceName {
 		return false
 	}
 	for i := 0; i < len(name); i++ {
