A roll-out's record fits a value of the state service however it goes on

Callers saw (suspected by a review, shown in the simulator): a roll-out of a version with a long description stayed in "returning" after an abort; its leader's write was refused as too large every 15 s.

Cause: the sizes were checked for the records as they are accepted. The service's record grows by the set of started instances, by zones, by a reason and by evidence; the room that was left did not cover all of them together.

Evidence: with the record of the largest service that was accepted at 4 KiB, the leader wrote values of 4,415 and 4,628 bytes.

Change: a request is accepted only if the record fits with all instances and zones, a reason and a piece of evidence. Writes of a record or a history leave out evidence, then the reason, where they don't fit. Refusals name the size and what to shorten.

Tests: TestWritesFitAValue failed before.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -240,7 +240,7 @@
 	rec := ledger.NewRecord(s, a.env.Wall().UnixMilli(), nonce, ledger.TasksPerChunk(a.store.Config().ValueBytes))
 	t := wire.Txn{When: []wire.Cond{{Path: key}}, Apply: []wire.Change{{Write: key, Value: rec.Encode()}}}
 	if size, limit := rec.LargestBytes(), a.store.Config().ValueBytes; size > limit {
-		a.refuseUnlessRecorded(s.ID, answer.TooLong(size, limit), reply)
+		a.refuseUnlessRecorded(s.ID, answer.TooLong(size, limit, "name fewer machine types in hulls"), reply)
 		return
 	}
 	if a.Queue == nil {
--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -20,8 +20,8 @@
 // Package admission may relay such a request to a node that reaches the service.
 var Unavailable = Refuse(http.StatusServiceUnavailable, 1, "the state service can't be asked, come back")
 
-// TooLong returns the response to a description whose record may grow to size bytes and would
-// then not fit a value of the state service.
-func TooLong(size, limit int) httpx.Response {
-	return Refuse(http.StatusBadRequest, 0, "the description is too long: its record takes up to %d bytes, and the state service stores %d: name fewer machine types, or shorter names", size, limit)
+// TooLong returns the response to a request whose record may grow to size bytes and would then not
+// fit a value of the state service. advice says what to shorten.
+func TooLong(size, limit int, advice string) httpx.Response {
+	return Refuse(http.StatusBadRequest, 0, "the description is too long: its record may take %d bytes, and the state service stores %d: %s", size, limit, advice)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -180,7 +180,7 @@
 	n.submissionQueue = intake.NewFairQueue(env.Rand(), n.weight)
 	n.submissionQueue.TryAcquire, n.submissionQueue.Rate = n.store.AdmitSubmission, n.store.SubmissionRate
 	n.admission.Queue = n.submissionQueue
-	n.rolloutAPI = rollout.NewHandler(env, n.store, f.Teams)
+	n.rolloutAPI = rollout.NewHandler(env, n.store, f.Teams, f.Zones)
 	n.rolloutAPI.Check = n.admission.Check
 	var teams []string
 	for _, t := range f.Teams {
--- a/internal/rollout/handler.go
+++ b/internal/rollout/handler.go
@@ -20,6 +20,7 @@
 	env   actor.Env
 	store *statestore.Store
 	teams map[string]settings.Team
+	zones []string
 	// Check reports why a job can never run. known is false while that can't be decided:
 	// the machine types aren't known, or a controller doesn't count resources.
 	Check func(s *model.Spec) (known bool, err error)
@@ -32,8 +33,8 @@
 }
 
 // NewHandler returns the Handler of a node.
-func NewHandler(env actor.Env, store *statestore.Store, teams []settings.Team) *Handler {
-	h := &Handler{env: env, store: store, teams: map[string]settings.Team{}}
+func NewHandler(env actor.Env, store *statestore.Store, teams []settings.Team, zones []string) *Handler {
+	h := &Handler{env: env, store: store, teams: map[string]settings.Team{}, zones: zones}
 	for _, t := range teams {
 		h.teams[t.Name] = t
 	}
@@ -261,7 +262,7 @@
 			}
 			c.Rollout.State, c.Rollout.Paused, c.Rollout.SinceMS, c.Rollout.Why = RollingBack, false, now, clip(withReason("aborted", info))
 		}
-		t := wire.Txn{When: []wire.Cond{{Path: Key(name), Revision: revision}}, Apply: []wire.Change{{Write: Key(name), Value: c.encode()}}}
+		t := wire.Txn{When: []wire.Cond{{Path: Key(name), Revision: revision}}, Apply: []wire.Change{{Write: Key(name), Value: c.encodeWithin(h.store.Config().ValueBytes)}}}
 		h.commitChange(name, verb, info, t, c, tries, reply)
 	})
 }
@@ -310,6 +311,6 @@
 	c := rec.copy()
 	c.Current, c.New, c.Rollout, c.Ended = nil, nil, nil, true
 	c.Nonce = fmt.Sprintf("%x", h.env.Rand().Uint64())
-	t := wire.Txn{When: append(when, wire.Cond{Path: Key(name), Revision: revision}), Apply: append(apply, wire.Change{Write: Key(name), Value: c.encode()})}
+	t := wire.Txn{When: append(when, wire.Cond{Path: Key(name), Revision: revision}), Apply: append(apply, wire.Change{Write: Key(name), Value: c.encodeWithin(h.store.Config().ValueBytes)})}
 	h.commitChange(name, wire.VerbWithdraw, info, t, c, tries, reply)
 }
--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -7,6 +7,8 @@
 	"encoding/base64"
 	"encoding/binary"
 	"fmt"
+	"math"
+	"strings"
 
 	"brooklb/internal/ledger"
 	"brooklb/internal/statestore"
@@ -233,6 +235,56 @@
 
 func (r *Record) encode() []byte { return wire.Encode(r) }
 
+// encodeWithin encodes the record. While it is larger than limit bytes, it leaves out evidence and
+// then the reason.
+func (r *Record) encodeWithin(limit int) []byte {
+	if r.Rollout == nil {
+		return r.encode()
+	}
+	return encodeWithin(limit, r, &r.Rollout.Evidence, &r.Rollout.Why)
+}
+
+func (p *pastRollout) encodeWithin(limit int) []byte {
+	return encodeWithin(limit, p, &p.Evidence, &p.Why)
+}
+
+// encodeWithin encodes a record. While it is larger than limit bytes, it empties the record's
+// evidence, the last piece first, and then its reason. A limit of 0 means none.
+func encodeWithin(limit int, record any, evidence *[]string, why *string) []byte {
+	for {
+		b := wire.Encode(record)
+		switch {
+		case limit <= 0 || len(b) <= limit:
+			return b
+		case len(*evidence) > 0:
+			*evidence = (*evidence)[:len(*evidence)-1]
+		case *why != "":
+			*why = ""
+		default:
+			return b
+		}
+	}
+}
+
+// largestBytes returns the size to which the record of a roll-out that begins may grow, with a
+// reason and a piece of evidence. Further evidence is left out where there is no room.
+func (r *Record) largestBytes(zones []string) int {
+	largest := r.copy()
+	for _, v := range []*version{largest.Current, largest.New} {
+		if v != nil {
+			v.Wanted = fullSet(v.Tasks)
+		}
+	}
+	text := strings.Repeat("x", maxTextBytes)
+	rollout := largest.Rollout
+	rollout.State, rollout.Paused, rollout.Ends = RollingBack, true, math.MaxInt32
+	rollout.Why, rollout.Evidence = text, []string{text}
+	if rollout.Plan.ByZone {
+		rollout.Zones, rollout.Step = zones, len(zones)
+	}
+	return len(largest.encode())
+}
+
 // id is the ID of the newest roll-out, for users and the log.
 func (r *Record) id(name string) string { return fmt.Sprintf("%s/%d", name, r.Number) }
 
--- a/internal/rollout/record_test.go
+++ b/internal/rollout/record_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -59,6 +60,58 @@
 	}
 }
 
+// TestWritesFitAValue guards against a roll-out that never goes on, never goes back or never ends,
+// because its record or history has grown beyond the limit for values since it was accepted: by
+// started instances, zones, a reason and evidence.
+func TestWritesFitAValue(t *testing.T) {
+	const limit = 4096
+	rec := &Record{V: recordFormat, Number: 1, Nonce: "0123456789abcdef", Current: &version{Job: "j-1", Tasks: MaxInstances, Wanted: fullSet(MaxInstances)},
+		New: &version{Job: "j-2", Tasks: MaxInstances, Health: testHealth()}, Rollout: &activeRollout{State: Rolling, Plan: &wire.Rollout{Ends: 2, StallS: 60, ByZone: true}}}
+	rec.New.Health.Path = "/" + strings.Repeat("p", limit-maxTextBytes*(maxEvidence+2)-len(rec.encode())) // as long as a request may be
+	evidence := make([]string, maxEvidence)
+	for i := range evidence {
+		evidence[i] = strings.Repeat(string('a'+rune(i)), maxTextBytes)
+	}
+	rec.New.Wanted = fullSet(MaxInstances)
+	rec.Rollout.Zones = []string{"a", "b", "c"}
+	reason := strings.Repeat("w", maxTextBytes)
+	for name, end := range map[string]func(a *Actor, s *service){
+		"rolled back": func(a *Actor, s *service) { a.rollBack(s, reason) },
+		"ended":       func(a *Actor, s *service) { a.finish(s, RolledBack, reason) },
+		"step":        func(a *Actor, s *service) { a.write(s, s.record.copy(), nil, nil) },
+	} {
+		e := &fakeEnv{rng: rand.New(rand.NewPCG(1, 1)), now: time.Minute}
+		written := 0
+		e.answer = func(c actor.Call) (actor.Answer, time.Duration) {
+			var txn wire.Txn
+			if err := wire.Decode(c.Body, &txn); err != nil {
+				t.Fatal(err)
+			}
+			for _, change := range txn.Apply {
+				written++
+				if len(change.Value) > limit {
+					t.Errorf("%s: a value of %d bytes for %s", name, len(change.Value), change.Write)
+				}
+				if change.Write != Key("shop") {
+					continue
+				}
+				got, err := Decode("shop", change.Value)
+				if err != nil || name == "rolled back" && (got.Rollout.Why != reason || len(got.Rollout.Evidence) == 0) {
+					t.Errorf("%s: %v, without its reason or any evidence", name, err)
+				}
+			}
+			return actor.Answer{Status: 503}, time.Millisecond
+		}
+		store := newStore(e)
+		a := New(e, ledger.New(e, store, 1, nil), store, 1, Config{ReportInterval: 3 * time.Second})
+		s := &service{name: "shop", record: rec.copy(), revision: 1, evidence: evidence}
+		end(a, s)
+		if e.run(time.Second); written == 0 {
+			t.Errorf("%s: nothing was written", name)
+		}
+	}
+}
+
 // evaluate passes a record through everything that a leader does with it. Both versions have a
 // running instance.
 func evaluate(rec *Record) {
--- a/internal/rollout/start.go
+++ b/internal/rollout/start.go
@@ -186,19 +186,10 @@
 	job.SetService(name)
 	// The job's record comes first, so that the leader sees it before the service's.
 	t.Apply = append(t.Apply, wire.Change{Write: ledger.JobKey(s.ID), Value: job.Encode()}, wire.Change{Write: Key(name), Value: c.encode()})
-	limit := h.store.Config().ValueBytes
-	if size := job.LargestBytes(); size > limit {
-		reply(answer.TooLong(size, limit))
+	if refusal := h.checkSizes(c, job, old); refusal != nil {
+		reply(*refusal)
 		return
 	}
-	for _, x := range t.Apply {
-		// The service's record needs room for evidence, zones and the sets of instances,
-		// which are added later.
-		if len(x.Value)+maxTextBytes*(maxEvidence+2) > limit && x.Write == Key(name) || len(x.Value) > limit {
-			reply(answer.Refuse(400, 0, "the description is too long"))
-			return
-		}
-	}
 	h.commit(t, 4, reply, func() {
 		h.env.Log().Info("roll-out accepted", "id", c.id(name), "from", from, "to", s.ID, "by", plan.By)
 		resp := h.statusResponse(name, c)
@@ -207,6 +198,30 @@
 	}, func() { h.answerAfterConflict(name, s.ID, reply) })
 }
 
+// checkSizes returns the answer to a request if one of its records doesn't fit a value of the state
+// service or may grow beyond it, nil if all have room. old is the record of the adopted job, nil if
+// none is adopted.
+func (h *Handler) checkSizes(service *Record, job, old *ledger.JobRecord) *httpx.Response {
+	limit := h.store.Config().ValueBytes
+	refusal := func(size int, advice string) *httpx.Response {
+		r := answer.TooLong(size, limit, advice)
+		return &r
+	}
+	if size := job.LargestBytes(); size > limit {
+		return refusal(size, "name fewer machine types in hulls")
+	}
+	// A leader of an older program leaves out no evidence.
+	if size := max(service.largestBytes(h.zones), len(service.encode())+maxTextBytes*(maxEvidence+2)); size > limit {
+		return refusal(size, "shorten health.path or name fewer steps")
+	}
+	if old != nil {
+		if size := len(old.Encode()); size > limit {
+			return refusal(size, "the description of the running job leaves no room for the service's name, so it can't be adopted")
+		}
+	}
+	return nil
+}
+
 // limitConflict returns why the team's limit makes it impossible to replace any
 // instance, "" if it doesn't.
 func (h *Handler) limitConflict(plan *wire.Rollout, old *model.Spec) string {
--- a/internal/rollout/write.go
+++ b/internal/rollout/write.go
@@ -25,7 +25,7 @@
 	s.unsavedSince = 0
 	c.Nonce = fmt.Sprintf("%x", a.env.Rand().Uint64())
 	t := wire.Txn{When: append([]wire.Cond{{Path: leader.Key, Revision: a.token}, {Path: Key(s.name), Revision: s.revision}}, when...),
-		Apply: append(apply, wire.Change{Write: Key(s.name), Value: c.encode()})}
+		Apply: append(apply, wire.Change{Write: Key(s.name), Value: c.encodeWithin(a.store.Config().ValueBytes)})}
 	for _, v := range []*version{s.record.Current, s.record.New} {
 		if v == nil {
 			continue
@@ -131,6 +131,7 @@
 // endingChanges returns the changes that end a roll-out besides the service's record:
 // its history, the deletion of the oldest history, and the ends of the versions' jobs.
 func endingChanges(store *statestore.Store, name string, n int, p *pastRollout, ending []*version, why string) (when []wire.Cond, apply []wire.Change, err error) {
+	limit := store.Config().ValueBytes
 	for _, v := range ending {
 		if v == nil {
 			continue
@@ -147,12 +148,12 @@
 		if rec.Final != ledger.Open {
 			continue
 		}
-		rec.Cancel(clip(why), store.Config().ValueBytes)
+		rec.Cancel(clip(why), limit)
 		when = append(when, wire.Cond{Path: key, Revision: it.Revision})
 		apply = append(apply, wire.Change{Write: key, Value: rec.Encode()})
 	}
 	if p != nil {
-		apply = append(apply, wire.Change{Write: HistoryKey(name, n), Value: wire.Encode(p)})
+		apply = append(apply, wire.Change{Write: HistoryKey(name, n), Value: p.encodeWithin(limit)})
 		if _, ok := store.Peek(HistoryKey(name, n-maxHistory)); ok {
 			apply = append(apply, wire.Change{Delete: HistoryKey(name, n-maxHistory)})
 		}
--- a/internal/sim/record_size_test.go
+++ b/internal/sim/record_size_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"brooklb/internal/actor"
 	"brooklb/internal/ledger"
 	"brooklb/internal/wire"
 )
@@ -108,6 +109,35 @@
 	w.checkNoBrokenRules(t)
 }
 
+// TestRolloutOfLongDescription guards against a roll-out that never ends because the job of the
+// version that it stops has no room in its record for the reason.
+func TestRolloutOfLongDescription(t *testing.T) {
+	accepted, refused := 0, 0
+	for bytes := 3300; bytes <= 3900; bytes += 30 {
+		w := serviceWorld(t, Config{Seed: 73}, 2)
+		j := versionJob("j-2", "web:bad", 2)
+		j.Types = longTypes(bytes)
+		status := 0
+		w.Rollout(Version{Service: "shop", Job: j, From: "j-1", Surge: 1, Health: healthCheck}, func(s int, _ []byte) { status = s })
+		w.Run(w.now + 2*time.Second)
+		if status == 400 {
+			refused++
+			continue
+		}
+		accepted++
+		w.AskService("shop", "pause", func(int, []byte) {})
+		w.Run(w.now + 30*time.Second)
+		w.request("POST", "/services/shop/abort", mustJSON(map[string]any{"by": strings.Repeat("b", 120), "why": strings.Repeat("w", 120)}), 5*time.Second, func(actor.Answer) {})
+		if state, why := w.awaitRollout("shop", 1, 5*time.Minute); state != "rolled back" {
+			t.Errorf("%d bytes of machine types: %q because %q", bytes, state, why)
+		}
+		w.checkNoBrokenRules(t)
+	}
+	if accepted == 0 || refused == 0 {
+		t.Errorf("%d roll-outs accepted, %d refused: the limit is not within the series", accepted, refused)
+	}
+}
+
 // checkAllCancelled fails the test for each job whose user has asked to cancel it in vain.
 func (w *World) checkAllCancelled(t *testing.T) {
 	t.Helper()
