A counted resource with limits of many teams can be changed and removed

Operators saw: a resource with limits of 48 teams was accepted at 4 KiB; a larger count and its removal then got 400 "too much for one resource".

Cause: as with cancellations, the record was compared with the limit as it was accepted, without room for larger counts, who changes it, and its removal.

Change: teams are accepted only if there is room for all of that. A record without room loses its teams when it is removed. The leader's own write that is refused as malformed is repeated after 30 s, not each second.

Tests: TestResourceWithManyTeams and TestRemoveResourceWithoutRoom failed before and pass (simulated machines).

--- a/internal/sim/record_size_test.go
+++ b/internal/sim/record_size_test.go
@@ -9,6 +9,8 @@
 
 	"brooklb/internal/actor"
 	"brooklb/internal/ledger"
+	"brooklb/internal/settings"
+	"brooklb/internal/units"
 	"brooklb/internal/wire"
 )
 
@@ -138,6 +140,69 @@
 	}
 }
 
+// TestResourceWithManyTeams guards against a counted resource that can't be changed or removed any
+// more, since limits of many teams have left no room in its record.
+func TestResourceWithManyTeams(t *testing.T) {
+	c := Config{Seed: 74, Nodes: 3, Zones: []string{"a"}, Capacity: 4, Initial: 2, CPUs: 16, BootS: 15}
+	for i := range 50 {
+		c.Teams = append(c.Teams, settings.Team{Name: fmt.Sprintf("team-%02d-%s", i, strings.Repeat("x", 60))})
+	}
+	w := New(c)
+	w.Run(20 * time.Second)
+	ask := func(path string, body map[string]any) (status int) {
+		w.request("POST", path, mustJSON(body), 5*time.Second, func(a actor.Answer) { status = a.Status })
+		w.Run(w.now + 2*time.Second)
+		return status
+	}
+	accepted, refused := 0, 0
+	for n := 20; n <= 50; n++ {
+		name, teams := fmt.Sprintf("seat-%d", n), map[string]any{}
+		for _, team := range c.Teams[:n] {
+			teams[team.Name] = map[string]int{"most": 1}
+		}
+		if status := ask("/units/"+name, map[string]any{"count": 1, "teams": teams}); status != 200 {
+			refused++
+			continue
+		}
+		accepted++
+		by := strings.Repeat("b", 120)
+		if status := ask("/units/"+name, map[string]any{"count": 1_000_000, "external": 100_000, "by": by}); status != 200 {
+			t.Errorf("a resource with limits of %d teams: a larger count got %d", n, status)
+		}
+		if status := ask("/units/"+name+"/remove", map[string]any{"by": by}); status != 200 {
+			t.Errorf("a resource with limits of %d teams: its removal got %d", n, status)
+		}
+	}
+	if accepted == 0 || refused == 0 {
+		t.Errorf("%d resources accepted, %d refused: the limit is not within the series", accepted, refused)
+	}
+	w.checkNoBrokenRules(t)
+}
+
+// TestRemoveResourceWithoutRoom guards against the same for a record that an older program has
+// written.
+func TestRemoveResourceWithoutRoom(t *testing.T) {
+	w := worldOf(Config{Seed: 75, Nodes: 3})
+	w.Run(20 * time.Second)
+	rec := units.Record{Count: 5, Teams: map[string]units.TeamLimits{}}
+	team := "red"
+	rec.Teams[team] = units.TeamLimits{Most: 2}
+	rec.Teams[strings.Repeat("x", 1024*w.cfg.ValueKB-len(rec.Encode())-len(`,"":{"most":2}`))] = units.TeamLimits{Most: 2}
+	w.State.serve("users", "POST", "/commit", mustJSON(map[string]any{"when": []any{}, "apply": []any{map[string]any{"write": "b/u/seat", "value": json.RawMessage(rec.Encode())}}}),
+		func(status int, b []byte) {
+			if status != 200 || len(rec.Encode()) != 1024*w.cfg.ValueKB {
+				t.Fatalf("a record of %d bytes: %d %s", len(rec.Encode()), status, b)
+			}
+		})
+	w.Run(w.now + 2*time.Second)
+	status := 0
+	w.request("POST", "/units/seat/remove", []byte(`{"by":"ana"}`), 5*time.Second, func(a actor.Answer) { status = a.Status })
+	if w.Run(w.now + 2*time.Second); status != 200 {
+		t.Errorf("the removal got %d", status)
+	}
+	w.checkNoBrokenRules(t)
+}
+
 // checkAllCancelled fails the test for each job whose user has asked to cancel it in vain.
 func (w *World) checkAllCancelled(t *testing.T) {
 	t.Helper()
--- a/internal/units/actor.go
+++ b/internal/units/actor.go
@@ -35,6 +35,9 @@
 	probeTimeout = 2 * time.Second
 	// minWriteInterval is the least time between writes of a probe's answers.
 	minWriteInterval = 5 * time.Second
+	// malformedRetryInterval is the time until a write is repeated that the state service
+	// refused as malformed.
+	malformedRetryInterval = 30 * time.Second
 )
 
 // Actor keeps the inventory of a term up to date from the records, the operator's
@@ -197,6 +200,10 @@
 		Apply: []wire.Change{{Write: Key(name), Value: rec.Encode()}}}
 	a.writing = true
 	a.store.Commit(t, true, func(r statestore.Result, _ uint64, failed []string) {
+		if r == statestore.Malformed { // an immediate retry would be refused, too
+			a.env.After(malformedRetryInterval, func() { a.writing = false })
+			return
+		}
 		a.writing = false
 		if a.stopped || r != statestore.Conflict {
 			return // a write that succeeded arrives as an event, another is repeated on a later tick
--- a/internal/units/handler.go
+++ b/internal/units/handler.go
@@ -177,11 +177,12 @@
 			return
 		}
 		c.AtMS, c.Nonce = h.env.Wall().UnixMilli(), fmt.Sprintf("%x", h.env.Rand().Uint64())
-		t := wire.Txn{When: []wire.Cond{{Path: Key(name), Revision: revision}}, Apply: []wire.Change{{Write: Key(name), Value: c.Encode()}}}
-		if len(t.Apply[0].Value) > h.store.Config().ValueBytes {
-			reply(answer.Refuse(400, 0, "too much for one resource: leave teams out"))
+		limit := h.store.Config().ValueBytes
+		if size := c.shortenAndMeasure(rec, limit); size > limit {
+			reply(answer.TooLong(size, limit, "name fewer teams"))
 			return
 		}
+		t := wire.Txn{When: []wire.Cond{{Path: Key(name), Revision: revision}}, Apply: []wire.Change{{Write: Key(name), Value: c.Encode()}}}
 		h.store.Commit(t, false, func(r statestore.Result, _ uint64, _ []string) {
 			switch {
 			case r == statestore.OK:
@@ -198,6 +199,20 @@
 	})
 }
 
+// shortenAndMeasure returns the size that counts against the limit for values when the record
+// replaces another: the size to which it may grow if teams are added, and otherwise its present one,
+// since records that an older program has written may have no room to grow. A removed resource that
+// doesn't fit loses its teams.
+func (r *Record) shortenAndMeasure(replaced *Record, limit int) int {
+	if r.Removed && len(r.Encode()) > limit {
+		r.Teams = nil
+	}
+	if largest := r.LargestBytes(); largest > replaced.LargestBytes() {
+		return largest
+	}
+	return len(r.Encode())
+}
+
 func (h *Handler) view(name string, rec *Record, holders bool) wire.UnitsView {
 	v := wire.UnitsView{Name: name, Count: rec.Count, Removed: rec.Removed, External: rec.External, By: rec.By, AtMS: rec.AtMS}
 	for t, p := range rec.Teams {
--- a/internal/units/record.go
+++ b/internal/units/record.go
@@ -7,10 +7,12 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"strings"
 
 	"brooklb/internal/model"
 	"brooklb/internal/statestore"
+	"brooklb/internal/wire"
 
 	"github.com/segmentio/encoding/json"
 )
@@ -25,6 +27,8 @@
 	// MaxResources is the largest number of resources.
 	MaxResources = 1000
 	maxTeams     = 50 // teams with a limit or share of a resource
+	// maxNonceBytes is the size of a 64-bit number in hexadecimal digits.
+	maxNonceBytes = 16
 )
 
 // ErrUnreadable reports that a record exists but can't be decoded, so nothing is known
@@ -128,6 +132,18 @@
 	return b
 }
 
+// LargestBytes returns the size to which the record may grow without further teams: counts, who
+// changed it last and its removal are written later.
+func (r *Record) LargestBytes() int {
+	largest := *r
+	largest.Count, largest.External, largest.DeclaredCount = MaxCount, MaxCount, MaxCount
+	largest.Reserve = [4]int{MaxCount, MaxCount, MaxCount, MaxCount}
+	largest.Removed, largest.Shed = true, true
+	largest.By = strings.Repeat("x", wire.MaxTextBytes)
+	largest.AtMS, largest.Nonce = math.MaxInt64, strings.Repeat("x", maxNonceBytes)
+	return len(largest.Encode())
+}
+
 // Decode decodes a record. A record that can't be decoded is an error and never counts
 // as an absent resource.
 func Decode(name string, b []byte) (*Record, error) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -29,11 +29,14 @@
 	jobPrefix        = "j-"
 )
 
-// clip limits a text to 120 bytes and replaces quotes, backslashes and characters other
+// MaxTextBytes is the largest size of a short text in a request, such as its reason.
+const MaxTextBytes = 120
+
+// clip limits a text to MaxTextBytes and replaces quotes, backslashes and characters other
 // than printable ASCII by dots, so that it can stand in a one-line error.
 func clip(s string) string {
-	if len(s) > 120 {
-		s = s[:120]
+	if len(s) > MaxTextBytes {
+		s = s[:MaxTextBytes]
 	}
 	return strings.Map(func(r rune) rune {
 		if r < ' ' || r == '"' || r == '\\' || r > '~' {
