A restore's transactions stay within 64 KiB

Operators would have seen: `brooklb state restore` of a state with many large values ends with "the state service answered 400", each time at the same key.

Cause: a transaction had as many changes as the settings allow, whatever their size. Parts of a list of machine types have the size of a whole value, so that 16 changes of 8 KiB exceed the 64 KiB of a transaction.

--- a/internal/sim/restore_test.go
+++ b/internal/sim/restore_test.go
@@ -103,6 +103,31 @@
 	}
 }
 
+// TestRestoreLargeValues guards against a restore that always fails because large values, such as
+// the parts of a list of machine types, make a transaction larger than the state service accepts.
+func TestRestoreLargeValues(t *testing.T) {
+	w := worldOf(Config{Seed: 76, Nodes: 3, ValueKB: 8, TxnOps: 16})
+	w.Cloud.OfferTypes(600)
+	w.Run(60 * time.Second)
+	s, err := snap.Fetch(w.State, time.Now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range w.nodes {
+		w.Crash(i, 5*time.Second)
+	}
+	w.State.Wipe()
+	if err := snap.Restore(w.State, s, w.cfg.TxnOps, nil); err != nil {
+		t.Error(err)
+	}
+	w.Cloud.Outage(time.Minute)
+	w.Run(w.now + 30*time.Second)
+	if status := w.submitAt(0, "j-1", otherType(599)); status != 201 {
+		t.Errorf("after the restore a job for the last type got %d", status)
+	}
+	w.checkNoBrokenRules(t)
+}
+
 // askFunc is a function that implements the snapshot package's access to the state service.
 type askFunc func(method, path string, body []byte) (int, []byte, error)
 
--- a/internal/snapshot/restore.go
+++ b/internal/snapshot/restore.go
@@ -28,6 +28,10 @@
 	AttemptMargin = 1_000_000
 )
 
+// maxTransactionBytes bounds the keys and values of a transaction. The state service accepts 64 KiB
+// with the conditions and the progress record.
+const maxTransactionBytes = 48 << 10
+
 // Restore writes a snapshot into an empty state service, with up to ops changes in one
 // transaction. If an earlier call was interrupted, it continues after that call's last write.
 // No controller can become leader before the restore ends (leader.RestoreKey). progress, if
@@ -62,13 +66,16 @@
 	ops = max(2, ops) - 1 // one change is the progress record
 	for {
 		t := wire.Txn{When: []wire.Cond{{Path: leader.RestoreKey, Revision: revision}, {Path: leader.Key}}}
-		next := m.Next
+		next, size := m.Next, 0
 		for ; next < len(s.Items) && len(t.Apply) < ops; next++ {
 			it := &s.Items[next]
 			switch it.Path {
 			case leader.Key, leader.RestoreKey, leader.BaseKey:
 				continue // belongs to the old cluster's leader election or restore
 			}
+			if size += len(it.Path) + len(it.Value); size > maxTransactionBytes && len(t.Apply) > 0 {
+				break
+			}
 			t.Apply = append(t.Apply, wire.Change{Write: it.Path, Value: it.Value})
 		}
 		m.Next = next
