Roll-outs: short functions for a step, its observation and a request

Change: advance leaves replacing instances, observing a step and rolling back without progress to functions of their own; create leaves the checks of the adopted job and the new record to theirs. No change of behaviour.

--- a/internal/rollout/start.go
+++ b/internal/rollout/start.go
@@ -129,7 +129,8 @@
 	return nil
 }
 
-// create writes the new version and the roll-out to it in one transaction.
+// create writes the new version and the roll-out to it in one transaction. old is the record of the
+// job that the roll-out replaces, nil if it replaces none.
 func (h *Handler) create(name string, rec *Record, revision uint64, plan *wire.Rollout, old *ledger.JobRecord, oldRevision uint64, reply func(httpx.Response)) {
 	s := plan.Job
 	from := plan.From
@@ -142,23 +143,8 @@
 	}
 	t := wire.Txn{When: []wire.Cond{{Path: Key(name), Revision: revision}, {Path: ledger.JobKey(s.ID)}}}
 	if old != nil {
-		spec := old.JobSpec()
-		switch {
-		case old.Final != ledger.Open:
-			reply(answer.Refuse(409, 0, "job %s is over, it can't be replaced", from))
-			return
-		case spec.Kind != model.Service:
-			reply(answer.Refuse(422, 0, "only services are rolled out: %s is a job whose tasks end by themselves", from))
-			return
-		case spec.Tasks > MaxInstances:
-			reply(answer.Refuse(422, 0, "a service that is rolled out has at most %d instances", MaxInstances))
-			return
-		case old.Service != "" && old.Service != name:
-			reply(answer.Refuse(409, 0, "job %s is a version of service %s", from, old.Service))
-			return
-		}
-		if why := h.limitConflict(plan, spec); why != "" {
-			reply(answer.Refuse(422, 0, "%s", why))
+		if refusal := h.checkAdoption(name, from, plan, old); refusal != nil {
+			reply(*refusal)
 			return
 		}
 		t.When = append(t.When, wire.Cond{Path: ledger.JobKey(from), Revision: oldRevision})
@@ -167,29 +153,21 @@
 			old.SetService(name)
 			t.Apply = append(t.Apply, wire.Change{Write: ledger.JobKey(from), Value: old.Encode()})
 		}
-		if c.Current == nil {
-			c.Current = &version{Job: from, Tasks: spec.Tasks, Wanted: fullSet(spec.Tasks), Health: plan.Health}
+		if tasks := old.JobSpec().Tasks; c.Current == nil {
+			c.Current = &version{Job: from, Tasks: tasks, Wanted: fullSet(tasks), Health: plan.Health}
 		}
 	}
-	c.V, c.Number, c.Ended = recordFormat, c.Number+1, false
-	c.New = &version{Job: s.ID, Tasks: s.Tasks, Health: plan.Health}
 	now := h.env.Wall().UnixMilli()
-	p := *plan
-	p.Health = nil // the versions keep it
-	c.Rollout = &activeRollout{Plan: &p, State: Rolling, StartedMS: now, SinceMS: now}
-	if plan.After != "" {
-		c.Rollout.State = Waiting
-	}
-	nonce := fmt.Sprintf("%x", h.env.Rand().Uint64())
-	c.Nonce = nonce
-	job := ledger.NewRecord(s, now, nonce, ledger.TasksPerChunk(h.store.Config().ValueBytes))
+	c.begin(plan, now)
+	c.Nonce = fmt.Sprintf("%x", h.env.Rand().Uint64())
+	job := ledger.NewRecord(s, now, c.Nonce, ledger.TasksPerChunk(h.store.Config().ValueBytes))
 	job.SetService(name)
-	// The job's record comes first, so that the leader sees it before the service's.
-	t.Apply = append(t.Apply, wire.Change{Write: ledger.JobKey(s.ID), Value: job.Encode()}, wire.Change{Write: Key(name), Value: c.encode()})
 	if refusal := h.checkSizes(c, job, old); refusal != nil {
 		reply(*refusal)
 		return
 	}
+	// The job's record comes first, so that the leader sees it before the service's.
+	t.Apply = append(t.Apply, wire.Change{Write: ledger.JobKey(s.ID), Value: job.Encode()}, wire.Change{Write: Key(name), Value: c.encode()})
 	h.commit(t, 4, reply, func() {
 		h.env.Log().Info("roll-out accepted", "id", c.id(name), "from", from, "to", s.ID, "by", plan.By)
 		resp := h.statusResponse(name, c)
@@ -198,6 +176,42 @@
 	}, func() { h.answerAfterConflict(name, s.ID, reply) })
 }
 
+// begin adds a roll-out to the record.
+func (r *Record) begin(plan *wire.Rollout, atMS int64) {
+	r.V, r.Number, r.Ended = recordFormat, r.Number+1, false
+	r.New = &version{Job: plan.Job.ID, Tasks: plan.Job.Tasks, Health: plan.Health}
+	kept := *plan
+	kept.Health = nil // the versions keep it
+	r.Rollout = &activeRollout{Plan: &kept, State: Rolling, StartedMS: atMS, SinceMS: atMS}
+	if plan.After != "" {
+		r.Rollout.State = Waiting
+	}
+}
+
+// checkAdoption returns the answer to a request whose roll-out can't replace the running job from,
+// nil if it can.
+func (h *Handler) checkAdoption(name, from string, plan *wire.Rollout, old *ledger.JobRecord) *httpx.Response {
+	refuse := func(status int, format string, args ...any) *httpx.Response {
+		r := answer.Refuse(status, 0, format, args...)
+		return &r
+	}
+	spec := old.JobSpec()
+	switch {
+	case old.Final != ledger.Open:
+		return refuse(409, "job %s is over, it can't be replaced", from)
+	case spec.Kind != model.Service:
+		return refuse(422, "only services are rolled out: %s is a job whose tasks end by themselves", from)
+	case spec.Tasks > MaxInstances:
+		return refuse(422, "a service that is rolled out has at most %d instances", MaxInstances)
+	case old.Service != "" && old.Service != name:
+		return refuse(409, "job %s is a version of service %s", from, old.Service)
+	}
+	if why := h.limitConflict(plan, spec); why != "" {
+		return refuse(422, "%s", why)
+	}
+	return nil
+}
+
 // checkSizes returns the answer to a request if one of its records doesn't fit a value of the state
 // service or may grow beyond it, nil if all have room. old is the record of the adopted job, nil if
 // none is adopted.
--- a/internal/rollout/steps.go
+++ b/internal/rollout/steps.go
@@ -138,80 +138,101 @@
 			return
 		}
 	}
-	now := a.env.Now()
-	tolerate := r.Plan.Tolerate.Of(rec.New.Tasks)
 	if n := updated.healthy(); n > s.mostHealthy {
-		s.mostHealthy, s.lastProgress = n, now
+		s.mostHealthy, s.lastProgress = n, a.env.Now()
 	}
-	stall := time.Duration(r.Plan.StallS * float64(time.Second))
 	if r.Plan.ByZone && r.Zones == nil && rec.Current != nil {
 		a.recordZones(s, old)
 		return
 	}
 	t := rec.target(old)
 	t.newCount = max(t.newCount, updated.wanted())
-	healthyEnough := updated.healthy() >= t.newCount-tolerate
-	since := time.Duration(a.env.Wall().UnixMilli()-r.SinceMS) * time.Millisecond
+	healthyEnough := updated.healthy() >= t.newCount-r.Plan.Tolerate.Of(rec.New.Tasks)
 	switch r.State {
 	case Rolling:
-		s.waitReason = a.waitReason(s, updated, t)
-		if r.Paused {
-			s.waitReason, s.lastProgress = "paused", now
-			return
-		}
-		if now-s.lastProgress > stall {
-			a.rollBack(s, fmt.Sprintf("no progress for %.0f s: %s", (now-s.lastProgress).Seconds(), s.waitReason))
-			return
-		}
-		done := updated.wanted() >= t.newCount && healthyEnough && old.wanted() <= t.oldCount && old.allStopped() && updated.allStopped()
-		start, stop := swap(updated, old, t.newCount, t.oldCount, a.bounds(rec), func(i int) bool { return t.zone == "" || rec.mayReplace(old[i].Zone) })
-		if len(start)+len(stop) > 0 {
-			c := rec.copy()
-			c.New.Wanted.add(start)
-			if c.Current != nil { // a roll-out that begins a service replaces nothing
-				c.Current.Wanted.remove(stop)
-			}
-			c.Rollout.Why = clip(s.waitReason)
-			a.write(s, c, nil, nil)
-			return
-		}
-		if done {
-			c := rec.copy()
-			c.Rollout.SinceMS, c.Rollout.Why = a.env.Wall().UnixMilli(), ""
-			c.Rollout.State = Baking
-			if t.last {
-				c.Rollout.State = Watching
-			}
-			a.write(s, c, nil, nil)
-		}
+		a.replaceInstances(s, old, updated, t, healthyEnough)
 	case Baking, Watching:
-		last := r.State == Watching
-		wait := r.Plan.BakeS
-		if last {
-			wait = max(r.Plan.WindowS, r.Plan.BakeS)
+		a.observe(s, updated, t, healthyEnough)
+	}
+}
+
+// replaceInstances starts and stops instances until a step's target is reached. Then the step is
+// observed.
+func (a *Actor) replaceInstances(s *service, old, updated instances, t target, healthyEnough bool) {
+	rec := s.record
+	s.waitReason = a.waitReason(s, updated, t)
+	if rec.Rollout.Paused {
+		s.waitReason, s.lastProgress = "paused", a.env.Now()
+		return
+	}
+	if a.rollBackIfStalled(s) {
+		return
+	}
+	reached := updated.wanted() >= t.newCount && healthyEnough && old.wanted() <= t.oldCount && old.allStopped() && updated.allStopped()
+	mayStop := func(i int) bool { return t.zone == "" || rec.mayReplace(old[i].Zone) }
+	start, stop := swap(updated, old, t.newCount, t.oldCount, a.bounds(rec), mayStop)
+	if len(start)+len(stop) > 0 {
+		c := rec.copy()
+		c.New.Wanted.add(start)
+		if c.Current != nil { // a roll-out that begins a service replaces nothing
+			c.Current.Wanted.remove(stop)
 		}
-		rest := time.Duration(wait*float64(time.Second)) - since
-		s.waitReason = fmt.Sprintf("watched for another %.0f s", max(0, rest.Seconds()))
-		switch {
-		case r.Paused:
-			s.waitReason, s.lastProgress = "paused", now
-		case rest > 0:
-			s.lastProgress = now
-		case !healthyEnough:
-			s.waitReason = a.waitReason(s, updated, t)
-			if now-s.lastProgress > stall {
-				a.rollBack(s, fmt.Sprintf("no progress for %.0f s: %s", (now-s.lastProgress).Seconds(), s.waitReason))
-			}
-		case last:
-			a.finish(s, Done, "")
-		default:
-			c := rec.copy()
-			c.Rollout.State, c.Rollout.Step, c.Rollout.SinceMS = Rolling, r.Step+1, a.env.Wall().UnixMilli()
-			a.write(s, c, nil, nil)
+		c.Rollout.Why = clip(s.waitReason)
+		a.write(s, c, nil, nil)
+		return
+	}
+	if reached {
+		c := rec.copy()
+		c.Rollout.SinceMS, c.Rollout.Why = a.env.Wall().UnixMilli(), ""
+		c.Rollout.State = Baking
+		if t.last {
+			c.Rollout.State = Watching
 		}
+		a.write(s, c, nil, nil)
 	}
 }
 
+// observe waits until a step has been observed for as long as planned, and then begins the next one
+// or ends the roll-out.
+func (a *Actor) observe(s *service, updated instances, t target, healthyEnough bool) {
+	r := s.record.Rollout
+	last := r.State == Watching
+	wait := r.Plan.BakeS
+	if last {
+		wait = max(r.Plan.WindowS, r.Plan.BakeS)
+	}
+	observed := time.Duration(a.env.Wall().UnixMilli()-r.SinceMS) * time.Millisecond
+	rest := time.Duration(wait*float64(time.Second)) - observed
+	s.waitReason = fmt.Sprintf("watched for another %.0f s", max(0, rest.Seconds()))
+	switch {
+	case r.Paused:
+		s.waitReason, s.lastProgress = "paused", a.env.Now()
+	case rest > 0:
+		s.lastProgress = a.env.Now()
+	case !healthyEnough:
+		s.waitReason = a.waitReason(s, updated, t)
+		a.rollBackIfStalled(s)
+	case last:
+		a.finish(s, Done, "")
+	default:
+		c := s.record.copy()
+		c.Rollout.State, c.Rollout.Step, c.Rollout.SinceMS = Rolling, r.Step+1, a.env.Wall().UnixMilli()
+		a.write(s, c, nil, nil)
+	}
+}
+
+// rollBackIfStalled rolls back if there was no progress for longer than the plan allows, and
+// reports whether it did.
+func (a *Actor) rollBackIfStalled(s *service) bool {
+	stall := time.Duration(s.record.Rollout.Plan.StallS * float64(time.Second))
+	without := a.env.Now() - s.lastProgress
+	if without <= stall {
+		return false
+	}
+	a.rollBack(s, fmt.Sprintf("no progress for %.0f s: %s", without.Seconds(), s.waitReason))
+	return true
+}
+
 // conflictingPort returns a port of the version's checks that is also the port of a
 // machine's worker, 0 if there is none.
 func (a *Actor) conflictingPort(v *version) int {
