The ledger's transactions are filled by a type of their own

Need: Ledger.flush had 119 lines and kept the state of the transaction that it filled in closures; which values are bounded, and how, stood nowhere.

No change of behaviour.

--- a/internal/ledger/write.go
+++ b/internal/ledger/write.go
@@ -1,8 +1,6 @@
 package ledger
 
 import (
-	"cmp"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -88,16 +86,6 @@
 	return wire.Encode(chunkRecord{V: RecordFormat, TaskStates: sb.String(), Why: why})
 }
 
-// pendingChange is one change of the transaction that is in flight. Deletions of orphaned
-// chunks have no job.
-type pendingChange struct {
-	job      *Job
-	chunk    int // index of the chunk; -1: the job's final record
-	key      string
-	placed   []*Placement
-	deletion bool
-}
-
 // Changes counts the changes that the term has written to the state service, by their
 // purpose. Each field except Tasks counts changes, which the service limits per second.
 type Changes struct {
@@ -193,138 +181,27 @@
 	if l.commitInFlight || l.closed || len(l.dirty)+len(l.unwrittenEnds)+len(l.orphans) == 0 {
 		return
 	}
-	now := l.env.Now()
-	budget := l.writeAllowance()
-	maxChanges := min(l.MaxOps, int(budget))
-	if maxChanges < 1 {
+	b := l.newBatch()
+	if b.maxChanges < 1 {
 		l.flushAfter(80 * time.Millisecond)
 		return
 	}
-	spare := int(budget - reservedBurstShare*l.store.WriteBurst())
-	maxConditions := 4*l.MaxOps - 2
-	t := wire.Txn{When: []wire.Cond{{Path: leader.Key, Revision: l.token}}}
-	var pending []*pendingChange
-	size := 0
-	conditioned := map[*Job]bool{}
-	requireJob := func(j *Job) {
-		if !conditioned[j] {
-			conditioned[j] = true
-			t.When = append(t.When, wire.Cond{Path: JobKey(j.Spec.ID), Revision: j.Revision})
-		}
-	}
-	full := func() bool { return len(t.Apply) >= maxChanges || size > 48<<10 || len(t.When) > maxConditions }
-	keepEnds := l.unwrittenEnds[:0]
-	for _, j := range l.unwrittenEnds {
-		switch {
-		case l.Jobs[j.Spec.ID] != j || j.Final != Open || j.endInFlight:
-			j.endQueued = false
-		case full():
-			keepEnds = append(keepEnds, j)
-		default:
-			rec := *j.Record
-			// The description of a completed job is no longer needed.
-			rec.Final, rec.Spec = Done, nil
-			v := rec.Encode()
-			requireJob(j)
-			t.Apply = append(t.Apply, wire.Change{Write: JobKey(j.Spec.ID), Value: v})
-			size += len(v)
-			pending = append(pending, &pendingChange{job: j, chunk: -1})
-			j.endQueued, j.endInFlight = false, true
-		}
-	}
-	l.unwrittenEnds = keepEnds
-	var deferred []dirtyChunk
-	ranks := make([]int, len(l.dirty))
-	order := make([]int, 0, len(l.dirty))
-	for i, d := range l.dirty {
-		var ok bool
-		if ranks[i], ok = l.rank(d, now); ok {
-			order = append(order, i)
-		} else if l.Jobs[d.job.Spec.ID] == d.job {
-			deferred = append(deferred, d)
-		}
-	}
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(ranks[a], ranks[b]) })
-	for _, i := range order {
-		d := l.dirty[i]
-		j, c := d.job, &d.job.chunks[d.chunk]
-		if l.Jobs[j.Spec.ID] != j {
-			continue
-		}
-		noSpare := ranks[i] >= deferrableRank && len(t.Apply) >= spare
-		if j.endInFlight || noSpare || full() {
-			deferred = append(deferred, d)
-			continue
-		}
-		key := ChunkKey(j.Spec.ID, d.chunk)
-		change := &pendingChange{job: j, chunk: d.chunk, key: key}
-		if j.Final != Open && j.Placed > 0 {
-			// The chunks are deleted once the last task is gone. Until then they may
-			// list placements that no longer exist.
-			c.dirty, c.urgent = false, false
-			continue
-		}
-		if j.Final != Open {
-			if c.revision == 0 {
-				c.dirty = false
-				continue
-			}
-			t.Apply = append(t.Apply, wire.Change{Delete: key})
-			change.deletion = true
-		} else {
-			v := l.encodeChunk(j, d.chunk)
-			if limit := l.store.Config().ValueBytes; limit > 0 && len(v) > limit {
-				v = l.shrink(j, d.chunk, limit)
-			}
-			size += len(v)
-			t.Apply = append(t.Apply, wire.Change{Write: key, Value: v})
-			for i := d.chunk * j.tasksPerChunk; i < min(len(j.Tasks), (d.chunk+1)*j.tasksPerChunk); i++ {
-				if p := j.Tasks[i].CurrentPlacement; p != nil && !p.Durable {
-					change.placed = append(change.placed, p)
-				}
-			}
-		}
-		requireJob(j)
-		t.When = append(t.When, wire.Cond{Path: key, Revision: c.revision})
-		c.dirty, c.urgent, c.inFlight = false, false, true
-		pending = append(pending, change)
-	}
-	l.dirty = deferred
-	for len(l.orphans) > 0 && len(t.Apply) < min(maxChanges, spare) && !full() {
-		o := l.orphans[0]
-		l.orphans = l.orphans[1:]
-		t.When = append(t.When, wire.Cond{Path: o.key, Revision: o.revision})
-		t.Apply = append(t.Apply, wire.Change{Delete: o.key})
-		pending = append(pending, &pendingChange{chunk: -1, key: o.key})
-	}
-	if len(t.Apply) == 0 {
+	b.addEnds()
+	b.addChunks()
+	b.addOrphans()
+	if len(b.txn.Apply) == 0 {
 		return
 	}
 	l.commitInFlight = true
-	l.store.Commit(t, true, func(r statestore.Result, revision uint64, failed []string) {
+	l.store.Commit(b.txn, true, func(r statestore.Result, revision uint64, failed []string) {
 		l.commitInFlight = false
 		if l.closed {
 			return
 		}
-		l.finishCommit(pending, r, revision, failed)
+		l.finishCommit(b.pending, r, revision, failed)
 	})
 }
 
-// shrink removes placements that are not durable yet until the chunk fits the limit for
-// values. Machines with very long names make this necessary.
-func (l *Ledger) shrink(j *Job, n, limit int) []byte {
-	j.StopReason = ""
-	v := l.encodeChunk(j, n)
-	for i := min(len(j.Tasks), (n+1)*j.tasksPerChunk) - 1; i >= n*j.tasksPerChunk && len(v) > limit; i-- {
-		if p := j.Tasks[i].CurrentPlacement; p != nil && !p.Durable {
-			l.vacate(p)
-			j.Tasks[i].NotBefore = l.env.Now() + 5*time.Second
-			v = l.encodeChunk(j, n)
-		}
-	}
-	return v
-}
-
 func (l *Ledger) finishCommit(pending []*pendingChange, r statestore.Result, revision uint64, failed []string) {
 	for _, change := range pending {
 		if change.job == nil {
