A roll-out that begins a service waits for the end of an upgrade

Need: a leader of the program before ends on the record of a roll-out without a running job. During an upgrade a newer controller would have accepted such a request while an older one may lead.

Change: a controller's status has the version of the roll-outs that its program carries out; older programs ignore the field and send none. While a status without it is recent, a roll-out that begins a service is refused with 503 and the reason. One that adopts a job, or updates a service, is accepted as before.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -203,6 +203,7 @@
 	n.forwarder = forward.NewForwarder(env, set.Label, n.leaderEndpoint)
 	n.forwarder.OnRefused = n.onNotForwarded
 	n.rolloutAPI.RolloutsSupported = func() bool { return n.peers.AllCanRead(ledger.ServiceFormat) }
+	n.rolloutAPI.BeginningSupported = func() bool { return n.peers.AllRollOut(rollout.Version) }
 	n.rolloutAPI.Live = func(name string) (*wire.RolloutLive, string) {
 		if n.term == nil {
 			return nil, ""
@@ -260,7 +261,8 @@
 }
 
 func (n *Node) status() peer.Status {
-	st := peer.Status{Label: n.settings.Label, StateAgeMS: (n.env.Now() - n.store.LastContact()).Milliseconds(), Leading: n.term != nil, SeekingWorkers: n.workersSeekingLeader(), JobFormat: ledger.UnitsFormat}
+	st := peer.Status{Label: n.settings.Label, StateAgeMS: (n.env.Now() - n.store.LastContact()).Milliseconds(), Leading: n.term != nil, SeekingWorkers: n.workersSeekingLeader(),
+		JobFormat: ledger.UnitsFormat, RolloutVersion: rollout.Version}
 	if n.term != nil {
 		st.Token = n.term.token
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -66,6 +66,9 @@
 	ReportingWorkers uint64 `cbor:"20,keyasint,omitempty"`
 	// SpreadReports says that the leader has all controllers take reports.
 	SpreadReports bool `cbor:"21,keyasint,omitempty"`
+	// RolloutVersion is the version of the roll-outs (rollout.Version) that its program carries
+	// out; 0 for programs that don't report it.
+	RolloutVersion int `cbor:"22,keyasint,omitempty"`
 }
 
 const (
@@ -235,8 +238,18 @@
 // AllCanRead reports whether all peers with a recent status read job records of the
 // format. During an upgrade some don't.
 func (a *Actor) AllCanRead(format int) bool {
+	return a.all(func(s *Status) bool { return s.JobFormat >= format })
+}
+
+// AllRollOut reports whether all peers with a recent status carry out roll-outs of the version.
+func (a *Actor) AllRollOut(version int) bool {
+	return a.all(func(s *Status) bool { return s.RolloutVersion >= version })
+}
+
+// all reports whether the condition holds for all recent statuses.
+func (a *Actor) all(holds func(s *Status) bool) bool {
 	for _, k := range a.statuses {
-		if a.env.Now()-k.receivedAt <= statusTTL && k.JobFormat < format {
+		if a.env.Now()-k.receivedAt <= statusTTL && !holds(&k.Status) {
 			return false
 		}
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -63,6 +63,13 @@
 	if !a.AllCanRead(3) || a.AllCanRead(4) {
 		t.Error("a peer that reads format 3 must count as reading format 3 and not format 4")
 	}
+	if a.AllRollOut(1) {
+		t.Error("a peer that reports no version of roll-outs counts as carrying out version 1")
+	}
+	post(Status{V: 1, Label: "n1", StateAgeMS: 400, RolloutVersion: 1})
+	if !a.AllRollOut(1) || a.AllRollOut(2) {
+		t.Error("a peer that carries out version 1 of roll-outs must count as carrying out version 1 and not version 2")
+	}
 	e.now += 4 * time.Second
 	if a.OthersReachState(time.Hour) {
 		t.Error("a status of 4 s ago still counts as recent")
--- a/internal/rollout/handler.go
+++ b/internal/rollout/handler.go
@@ -27,6 +27,9 @@
 	// RolloutsSupported reports whether all controllers with a recent status can read the
 	// records of roll-outs. During an upgrade some can't.
 	RolloutsSupported func() bool
+	// BeginningSupported reports whether all controllers with a recent status can carry out a
+	// roll-out that begins a service (Version).
+	BeginningSupported func() bool
 	// Live returns the leader's view of a service's roll-out and why it doesn't advance,
 	// nil on other nodes.
 	Live func(name string) (*wire.RolloutLive, string)
--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -25,6 +25,11 @@
 	recordFormat  = 1
 )
 
+// Version is the version of the roll-outs that this program carries out. From version 1 on, a
+// roll-out may begin a service, without a running job that it replaces. A leader of a program without
+// a version ends when it reads the record of such a roll-out.
+const Version = 1
+
 const (
 	// MaxInstances is the largest number of instances of a service that is rolled
 	// out: the sets of its wanted instances have to fit into its record.
--- a/internal/rollout/start.go
+++ b/internal/rollout/start.go
@@ -59,6 +59,8 @@
 				reply(answer.Unavailable)
 			case it != nil:
 				reply(answer.Refuse(409, 0, "there is a job %s already: each version has an id of its own, which never returns", s.ID))
+			case from == "" && h.BeginningSupported != nil && !h.BeginningSupported():
+				reply(answer.Refuse(503, 30, "a controller runs a program that can't begin a service by a roll-out: finish the upgrade first, or name a running job in from"))
 			case from == "":
 				h.create(name, rec, revision, plan, nil, 0, reply)
 			default:
--- a/internal/sim/service_requests_test.go
+++ b/internal/sim/service_requests_test.go
@@ -97,6 +97,27 @@
 	w.checkNoBrokenRules(t)
 }
 
+// TestBeginServiceDuringUpgrade guards against a leader of an older program that ends because a newer
+// controller has accepted a roll-out without a running job.
+func TestBeginServiceDuringUpgrade(t *testing.T) {
+	w := serviceWorld(t, Config{Seed: 98}, 4)
+	w.OlderNodes = map[string]bool{w.NodeName(2): true}
+	w.UserNode = func() int { return 1 }
+	w.Run(w.now + 5*time.Second)
+	accepted := false
+	w.Rollout(Version{Service: "shop", Job: versionJob("j-2", "web:good", 4), Surge: 1}, func(status int, _ []byte) { accepted = status == 201 })
+	w.Run(w.now + 30*time.Second)
+	if accepted || w.State.keys["b/s/shop"] != nil {
+		t.Error("a roll-out that begins a service was accepted beside an older program")
+	}
+	w.OlderNodes = nil
+	w.Run(w.now + 10*time.Second)
+	if state, why := w.awaitRollout("shop", 1, 5*time.Minute); !accepted || state != "done" {
+		t.Errorf("after the upgrade: accepted %v, %q because %q", accepted, state, why)
+	}
+	w.checkNoBrokenRules(t)
+}
+
 // TestAfter checks that the roll-out of one team's service waits for another's: it begins when
 // the other is done, and never begins if the other was rolled back.
 func TestAfter(t *testing.T) {
